--- /dev/null
+++ b/baobabpin/http/HttpClient.cpp
@@ -0,0 +1,171 @@
+#include "baobabpin/http/HttpClient.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <sys/socket.h>
+
+#include <charconv>
+#include <utility>
+
+namespace baobabpin::http {
+
+using kernel::EventLoop;
+using kernel::Timer;
+
+Endpoint parseEndpoint(const std::string &text) {
+  auto colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0)
+    return {};
+  Endpoint endpoint{text.substr(0, colon), 0};
+  const char *end = text.data() + text.size();
+  auto [ptr, ec] = std::from_chars(text.data() + colon + 1, end, endpoint.Port);
+  if (ec != std::errc() || ptr != end || endpoint.Port == 0)
+    return {};
+  return endpoint;
+}
+
+std::string formatEndpoint(const Endpoint &endpoint) {
+  return endpoint.Address + ":" + std::to_string(endpoint.Port);
+}
+
+struct HttpConnection::State {
+  State(EventLoop &loop, Endpoint target)
+      : Loop(loop), Target(std::move(target)) {}
+
+  EventLoop &Loop;
+  Endpoint Target;
+  evhttp_connection *Connection = nullptr;
+  evhttp_request *Request = nullptr;
+  ReplyCallback Callback;
+  Timer Deadline;
+  bool Closed = false;
+
+  void connect();
+  void drop();
+  bool isConnected() const;
+  void send(evhttp_cmd_type method, const std::string &path, std::string body,
+            base::Duration timeout, ReplyCallback callback);
+  void finish(HttpReply reply);
+  void onReply(evhttp_request *request);
+};
+
+void HttpConnection::State::connect() {
+  Closed = false;
+  Connection = evhttp_connection_base_new(Loop.base(), nullptr,
+                                          Target.Address.c_str(), Target.Port);
+  evhttp_connection_set_closecb(
+      Connection,
+      [](evhttp_connection *, void *arg) {
+        static_cast<State *>(arg)->Closed = true;
+      },
+      this);
+}
+
+void HttpConnection::State::drop() {
+  Deadline.cancel();
+  // A cancelled request does not call back.
+  if (Request)
+    evhttp_cancel_request(std::exchange(Request, nullptr));
+  if (!Connection)
+    return;
+  evhttp_connection *dead = std::exchange(Connection, nullptr);
+  evhttp_connection_set_closecb(dead, nullptr, nullptr);
+  // This may run inside one of the connection's own callbacks.
+  Loop.post([dead] { evhttp_connection_free(dead); });
+}
+
+bool HttpConnection::State::isConnected() const {
+  if (!Connection)
+    return false;
+  auto fd = bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
+  sockaddr_storage peer{};
+  socklen_t n = sizeof peer;
+  return fd >= 0 &&
+         getpeername(fd, reinterpret_cast<sockaddr *>(&peer), &n) == 0;
+}
+
+void HttpConnection::State::send(evhttp_cmd_type method,
+                                 const std::string &path, std::string body,
+                                 base::Duration timeout,
+                                 ReplyCallback callback) {
+  Callback = std::move(callback);
+  if (Connection && Closed)
+    drop();
+  if (!Connection)
+    connect();
+  Request = evhttp_request_new(
+      [](evhttp_request *request, void *arg) {
+        static_cast<State *>(arg)->onReply(request);
+      },
+      this);
+  auto *headers = evhttp_request_get_output_headers(Request);
+  evhttp_add_header(headers, "Host", Target.Address.c_str());
+  evhttp_add_header(headers, "Content-Type", "application/json");
+  evbuffer_add(evhttp_request_get_output_buffer(Request), body.data(),
+               body.size());
+  Deadline = Loop.runAfter(timeout, [this] {
+    finish({isConnected() ? Transfer::TimedOut : Transfer::NotSent, 0, {}});
+  });
+  if (evhttp_make_request(Connection, Request, method, path.c_str()) != 0) {
+    Request = nullptr;
+    Deadline = Loop.runAfter({}, [this] {
+      finish({Transfer::NotSent, 0, {}});
+    });
+  }
+}
+
+void HttpConnection::State::onReply(evhttp_request *request) {
+  Request = nullptr;
+  // evhttp passes the request without a status when connecting failed, and no
+  // request when the exchange broke later.
+  if (!request) {
+    finish({Transfer::Broken, 0, {}});
+    return;
+  }
+  int status = evhttp_request_get_response_code(request);
+  if (status == 0) {
+    finish({Transfer::NotSent, 0, {}});
+    return;
+  }
+  HttpReply reply{Transfer::Completed, status, {}};
+  evbuffer *body = evhttp_request_get_input_buffer(request);
+  reply.Body.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, reply.Body.data(), reply.Body.size());
+  finish(std::move(reply));
+}
+
+void HttpConnection::State::finish(HttpReply reply) {
+  Deadline.cancel();
+  // A connection that failed may still deliver the old answer; it is never
+  // used again.
+  if (reply.Result != Transfer::Completed)
+    drop();
+  auto callback = std::exchange(Callback, nullptr);
+  callback(std::move(reply));
+}
+
+HttpConnection::HttpConnection(EventLoop &loop, Endpoint endpoint)
+    : Impl(std::make_unique<State>(loop, std::move(endpoint))) {}
+
+HttpConnection::~HttpConnection() { Impl->drop(); }
+
+void HttpConnection::post(const std::string &path, std::string body,
+                          base::Duration timeout, ReplyCallback callback) {
+  Impl->send(EVHTTP_REQ_POST, path, std::move(body), timeout,
+             std::move(callback));
+}
+
+void HttpConnection::get(const std::string &path, base::Duration timeout,
+                         ReplyCallback callback) {
+  Impl->send(EVHTTP_REQ_GET, path, {}, timeout, std::move(callback));
+}
+
+bool HttpConnection::isBusy() const { return Impl->Callback != nullptr; }
+
+const Endpoint &HttpConnection::endpoint() const { return Impl->Target; }
+
+} // namespace baobabpin::http
--- /dev/null
+++ b/baobabpin/kernel/CompletionPump.cpp
@@ -0,0 +1,32 @@
+#include "baobabpin/kernel/CompletionPump.h"
+
+namespace baobabpin::kernel {
+
+CompletionPump::CompletionPump(EventLoop &loop,
+                               std::unique_ptr<grpc::CompletionQueue> queue)
+    : Loop(loop), Queue(std::move(queue)), Thread([this] { pump(); }) {}
+
+CompletionPump::~CompletionPump() {
+  *Alive = false;
+  Queue->Shutdown();
+  Thread.join();
+}
+
+void *CompletionPump::tag(Completion completion) {
+  return new Completion(std::move(completion));
+}
+
+void CompletionPump::pump() {
+  void *tag = nullptr;
+  bool ok = false;
+  while (Queue->Next(&tag, &ok)) {
+    std::shared_ptr<Completion> completion(static_cast<Completion *>(tag));
+    // Alive is read and written on the loop's thread only.
+    Loop.post([completion, ok, alive = Alive] {
+      if (*alive)
+        (*completion)(ok);
+    });
+  }
+}
+
+} // namespace baobabpin::kernel
--- /dev/null
+++ b/baobabpin/kernel/EventLog.cpp
@@ -0,0 +1,79 @@
+#include "baobabpin/kernel/EventLog.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace baobabpin::kernel {
+namespace {
+
+void appendValue(std::string &line, const std::string &value) {
+  if (!value.empty() && value.find_first_of(" \"=\n") == std::string::npos) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (char c : value) {
+    if (c == '"' || c == '\\')
+      line += '\\';
+    line += c == '\n' ? ' ' : c;
+  }
+  line += '"';
+}
+
+} // namespace
+
+std::string formatEvent(const std::string &process, const LoggedEvent &event) {
+  std::string line = "ts=" + std::to_string(event.Stamp.WallUs) + "." +
+                     std::to_string(event.Stamp.Counter);
+  line += " process=";
+  appendValue(line, process);
+  line += " event=" + event.Name;
+  for (const auto &[key, value] : event.Fields) {
+    line += " " + key + "=";
+    appendValue(line, value);
+  }
+  return line;
+}
+
+EventLog::EventLog(std::string process, std::size_t capacity, WallClock clock)
+    : Process(std::move(process)), Capacity(capacity), Now(clock) {}
+
+EventStamp EventLog::stamp() {
+  auto us = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          Now().time_since_epoch())
+          .count());
+  if (us > Last.WallUs)
+    Last = {us, 0};
+  else
+    ++Last.Counter;
+  return Last;
+}
+
+void EventLog::observe(EventStamp remote) { Last = std::max(Last, remote); }
+
+EventStamp EventLog::record(std::string name, EventFields fields) {
+  LoggedEvent event{stamp(), std::move(name), std::move(fields)};
+  LOG(INFO) << formatEvent(Process, event);
+  EventStamp at = event.Stamp;
+  Ring.push_back(std::move(event));
+  if (Ring.size() > Capacity)
+    Ring.pop_front();
+  return at;
+}
+
+std::vector<LoggedEvent> EventLog::eventsSince(EventStamp since,
+                                               std::size_t limit) const {
+  std::vector<LoggedEvent> events;
+  for (const auto &it : Ring) {
+    if (it.Stamp <= since)
+      continue;
+    if (events.size() == limit)
+      break;
+    events.push_back(it);
+  }
+  return events;
+}
+
+} // namespace baobabpin::kernel
--- /dev/null
+++ b/baobabpin/kernel/EventLoopTest.cpp
@@ -0,0 +1,60 @@
+#include "baobabpin/kernel/EventLoop.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+namespace baobabpin::kernel {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("timers and posted work run on the loop") {
+  EventLoop loop;
+
+  SUBCASE("timers run in the order of their deadlines") {
+    std::string order;
+    Timer late = loop.runAfter(20ms, [&] {
+      order += "b";
+      loop.stop();
+    });
+    Timer early = loop.runAfter(1ms, [&] { order += "a"; });
+    loop.run();
+    CHECK(order == "ab");
+  }
+  SUBCASE("a cancelled timer never runs") {
+    int n = 0;
+    Timer cancelled = loop.runAfter(1ms, [&] { ++n; });
+    cancelled.cancel();
+    Timer end = loop.runAfter(10ms, [&] { loop.stop(); });
+    loop.run();
+    CHECK(n == 0);
+  }
+  SUBCASE("a timer may cancel itself while it runs") {
+    int n = 0;
+    Timer repeating;
+    repeating = loop.runEvery(1ms, [&] {
+      if (++n == 3) {
+        repeating.cancel();
+        loop.post([&] { loop.stop(); });
+      }
+    });
+    loop.run();
+    CHECK(n == 3);
+  }
+  SUBCASE("another thread hands work to the loop") {
+    std::thread::id ranOn;
+    std::thread other([&] {
+      loop.post([&] {
+        ranOn = std::this_thread::get_id();
+        loop.stop();
+      });
+    });
+    loop.run();
+    other.join();
+    CHECK(ranOn == std::this_thread::get_id());
+  }
+}
+
+} // namespace
+} // namespace baobabpin::kernel
--- /dev/null
+++ b/baobabpin/kernel/Metrics.h
@@ -0,0 +1,43 @@
+/// Process metrics by prometheus-cpp.
+///
+/// \code
+///   auto &n = metrics.counter("baobabpin_reads_total", "Reads.",
+///                             {{"target", "replica"}});
+///   n.Increment();
+/// \endcode
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+
+namespace baobabpin::kernel {
+
+using MetricLabels = std::map<std::string, std::string>;
+
+class Metrics {
+public:
+  /// References stay valid for the life of this object; the same name and
+  /// labels give the same metric.
+  prometheus::Counter &counter(const std::string &name, const std::string &help,
+                               const MetricLabels &labels = {});
+  prometheus::Gauge &gauge(const std::string &name, const std::string &help,
+                           const MetricLabels &labels = {});
+  /// Bucket bounds are in the unit that the name ends with, such as _seconds.
+  prometheus::Histogram &
+  histogram(const std::string &name, const std::string &help,
+            const prometheus::Histogram::BucketBoundaries &bounds,
+            const MetricLabels &labels = {});
+
+  /// All metrics in the Prometheus text format.
+  std::string render() const;
+
+private:
+  prometheus::Registry Registry;
+};
+
+} // namespace baobabpin::kernel
