--- /dev/null
+++ b/baobabpin/admission/RequestQueue.cpp
@@ -0,0 +1,151 @@
+#include "baobabpin/admission/RequestQueue.h"
+
+#include <algorithm>
+
+namespace baobabpin::admission {
+
+using internal::SessionRing;
+
+namespace {
+
+constexpr std::array<std::string_view, PriorityCount> PriorityNames{
+    "urgent", "high", "normal", "low"};
+
+SessionRing &ringOf(RequestQueue &queue, Priority level, Lane lane) {
+  return queue
+      .Rings[static_cast<std::size_t>(level)][static_cast<std::size_t>(lane)];
+}
+
+void dropSession(SessionRing &ring, std::uint64_t session) {
+  ring.Waiting.erase(session);
+  std::erase(ring.Turns, session);
+}
+
+QueuedRequest popTurn(RequestQueue &queue, SessionRing &ring) {
+  std::uint64_t session = ring.Turns.front();
+  ring.Turns.pop_front();
+  auto it = ring.Waiting.find(session);
+  QueuedRequest request = it->second.front();
+  it->second.pop_front();
+  if (it->second.empty())
+    ring.Waiting.erase(it);
+  else
+    ring.Turns.push_back(session);
+  --queue.Size;
+  return request;
+}
+
+/// The newest request of a lower priority than \p level.
+std::optional<QueuedRequest> evictBelow(RequestQueue &queue, Priority level) {
+  for (std::size_t n = PriorityCount;
+       n-- > static_cast<std::size_t>(level) + 1;) {
+    for (auto &ring : queue.Rings[n]) {
+      if (ring.Turns.empty())
+        continue;
+      std::uint64_t session = ring.Turns.back();
+      auto &waiting = ring.Waiting[session];
+      QueuedRequest request = waiting.back();
+      waiting.pop_back();
+      if (waiting.empty())
+        dropSession(ring, session);
+      --queue.Size;
+      return request;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<QueuedRequest> popLevel(RequestQueue &queue, std::size_t level,
+                                      OpenLanes open) {
+  auto &lanes = queue.Rings[level];
+  auto &primary = lanes[static_cast<std::size_t>(Lane::Primary)];
+  auto &replica = lanes[static_cast<std::size_t>(Lane::Replica)];
+  if (open.Primary && !primary.Turns.empty())
+    return popTurn(queue, primary);
+  if (open.Replica && !replica.Turns.empty())
+    return popTurn(queue, replica);
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<Priority> parsePriority(std::string_view name) {
+  for (std::size_t n = 0; n < PriorityCount; ++n) {
+    if (PriorityNames[n] == name)
+      return static_cast<Priority>(n);
+  }
+  return std::nullopt;
+}
+
+EnqueueResult enqueue(RequestQueue &queue, const QueuedRequest &request) {
+  EnqueueResult result;
+  if (queue.Size >= queue.Limits.Capacity) {
+    result.Evicted = evictBelow(queue, request.Level);
+    if (!result.Evicted)
+      return result;
+  }
+  auto &ring = ringOf(queue, request.Level, request.Target);
+  auto &waiting = ring.Waiting[request.Session];
+  if (waiting.empty())
+    ring.Turns.push_back(request.Session);
+  waiting.push_back(request);
+  ++queue.Size;
+  result.Accepted = true;
+  return result;
+}
+
+std::optional<QueuedRequest> dequeue(RequestQueue &queue, OpenLanes open) {
+  if (queue.Size == 0)
+    return std::nullopt;
+  bool lowFirst = (queue.Turn + 1) % queue.Limits.LowPriorityTurn == 0;
+  for (std::size_t n = 0; n < PriorityCount; ++n) {
+    std::size_t level = lowFirst ? PriorityCount - 1 - n : n;
+    auto request = popLevel(queue, level, open);
+    if (!request)
+      continue;
+    ++queue.Turn;
+    return request;
+  }
+  return std::nullopt;
+}
+
+namespace {
+
+template <typename Predicate>
+std::vector<QueuedRequest> takeIf(RequestQueue &queue, Predicate leaves) {
+  std::vector<QueuedRequest> taken;
+  for (auto &lanes : queue.Rings) {
+    for (auto &ring : lanes) {
+      std::vector<std::uint64_t> emptied;
+      for (auto &[session, waiting] : ring.Waiting) {
+        auto stays = std::stable_partition(
+            waiting.begin(), waiting.end(),
+            [&](const QueuedRequest &it) { return !leaves(it); });
+        taken.insert(taken.end(), stays, waiting.end());
+        waiting.erase(stays, waiting.end());
+        if (waiting.empty())
+          emptied.push_back(session);
+      }
+      for (std::uint64_t session : emptied)
+        dropSession(ring, session);
+    }
+  }
+  queue.Size -= taken.size();
+  return taken;
+}
+
+} // namespace
+
+std::vector<QueuedRequest> takeExpired(RequestQueue &queue,
+                                       base::TimePoint now) {
+  if (queue.Size == 0)
+    return {};
+  return takeIf(queue,
+                [&](const QueuedRequest &it) { return it.Deadline <= now; });
+}
+
+std::vector<QueuedRequest> takeAll(RequestQueue &queue) {
+  return takeIf(queue, [](const QueuedRequest &) { return true; });
+}
+
+} // namespace baobabpin::admission
--- /dev/null
+++ b/baobabpin/admission/RequestQueueTest.cpp
@@ -0,0 +1,97 @@
+#include "baobabpin/admission/RequestQueue.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace baobabpin::admission {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::TimePoint Start{};
+constexpr OpenLanes Both{.Primary = true, .Replica = true};
+
+QueuedRequest request(std::uint64_t id, Priority level, std::uint64_t session,
+                      Lane lane = Lane::Primary) {
+  return {id, level, lane, session, Start + 1s};
+}
+
+std::string drain(RequestQueue &queue, OpenLanes open) {
+  std::string order;
+  while (auto it = dequeue(queue, open))
+    order += std::to_string(it->Id) + " ";
+  return order;
+}
+
+TEST_CASE("a correction does not wait behind searches") {
+  RequestQueue queue;
+  enqueue(queue, request(1, Priority::Normal, 10));
+  enqueue(queue, request(2, Priority::Normal, 11));
+  enqueue(queue, request(3, Priority::Urgent, 12));
+  CHECK(drain(queue, Both) == "3 1 2 ");
+}
+
+TEST_CASE("one busy session does not hold up the others") {
+  RequestQueue queue;
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    enqueue(queue, request(id, Priority::High, 10));
+  enqueue(queue, request(4, Priority::High, 11));
+  CHECK(drain(queue, Both) == "1 4 2 3 ");
+}
+
+TEST_CASE("searches progress while corrections keep coming") {
+  RequestQueue queue;
+  enqueue(queue, request(1000, Priority::Low, 1));
+  int waited = 0;
+  for (std::uint64_t id = 1;; ++id) {
+    enqueue(queue, request(id, Priority::Urgent, id + 1));
+    auto it = dequeue(queue, Both);
+    REQUIRE(it);
+    if (it->Id == 1000)
+      break;
+    ++waited;
+  }
+  CHECK(waited == 7);
+}
+
+TEST_CASE("a full queue refuses the least urgent request") {
+  RequestQueue queue{.Limits = {.Capacity = 2}};
+  enqueue(queue, request(1, Priority::Normal, 10));
+  enqueue(queue, request(2, Priority::Normal, 11));
+
+  SUBCASE("an urgent one takes the place of the newest lower one") {
+    auto result = enqueue(queue, request(3, Priority::Urgent, 12));
+    CHECK(result.Accepted);
+    REQUIRE(result.Evicted);
+    CHECK(result.Evicted->Id == 2);
+    CHECK(drain(queue, Both) == "3 1 ");
+  }
+  SUBCASE("an equal one is refused") {
+    CHECK_FALSE(enqueue(queue, request(3, Priority::Normal, 12)).Accepted);
+    CHECK(queue.Size == 2);
+  }
+}
+
+TEST_CASE("a read goes on while the primary's slots are taken") {
+  RequestQueue queue;
+  enqueue(queue, request(1, Priority::Urgent, 10, Lane::Primary));
+  enqueue(queue, request(2, Priority::Normal, 11, Lane::Replica));
+  CHECK(drain(queue, {.Primary = false, .Replica = true}) == "2 ");
+  CHECK(queue.Size == 1);
+}
+
+TEST_CASE("requests past their deadline leave the queue unrun") {
+  RequestQueue queue;
+  enqueue(queue, request(1, Priority::High, 10));
+  auto late = request(2, Priority::High, 10);
+  late.Deadline = Start + 5s;
+  enqueue(queue, late);
+  auto expired = takeExpired(queue, Start + 1s);
+  REQUIRE(expired.size() == 1);
+  CHECK(expired.front().Id == 1);
+  CHECK(drain(queue, Both) == "2 ");
+}
+
+} // namespace
+} // namespace baobabpin::admission
--- a/baobabpin/http/HttpClient.cpp
+++ b/baobabpin/http/HttpClient.cpp
@@ -33,11 +33,13 @@
 }
 
 struct HttpConnection::State {
-  State(EventLoop &loop, Endpoint target)
-      : Loop(loop), Target(std::move(target)) {}
+  State(EventLoop &loop, Endpoint target, std::string localAddress)
+      : Loop(loop), Target(std::move(target)),
+        LocalAddress(std::move(localAddress)) {}
 
   EventLoop &Loop;
   Endpoint Target;
+  std::string LocalAddress;
   evhttp_connection *Connection = nullptr;
   evhttp_request *Request = nullptr;
   ReplyCallback Callback;
@@ -57,6 +59,8 @@
   Closed = false;
   Connection = evhttp_connection_base_new(Loop.base(), nullptr,
                                           Target.Address.c_str(), Target.Port);
+  if (!LocalAddress.empty())
+    evhttp_connection_set_local_address(Connection, LocalAddress.c_str());
   evhttp_connection_set_closecb(
       Connection,
       [](evhttp_connection *, void *arg) {
@@ -148,8 +152,10 @@
   callback(std::move(reply));
 }
 
-HttpConnection::HttpConnection(EventLoop &loop, Endpoint endpoint)
-    : Impl(std::make_unique<State>(loop, std::move(endpoint))) {}
+HttpConnection::HttpConnection(EventLoop &loop, Endpoint endpoint,
+                               std::string localAddress)
+    : Impl(std::make_unique<State>(loop, std::move(endpoint),
+                                   std::move(localAddress))) {}
 
 HttpConnection::~HttpConnection() { Impl->drop(); }
 
@@ -164,6 +170,11 @@
   Impl->send(EVHTTP_REQ_GET, path, {}, timeout, std::move(callback));
 }
 
+void HttpConnection::disconnect() {
+  Impl->drop();
+  Impl->Callback = nullptr;
+}
+
 bool HttpConnection::isBusy() const { return Impl->Callback != nullptr; }
 
 const Endpoint &HttpConnection::endpoint() const { return Impl->Target; }
--- a/baobabpin/http/HttpClient.h
+++ b/baobabpin/http/HttpClient.h
@@ -46,7 +46,9 @@
 
 class HttpConnection {
 public:
-  HttpConnection(kernel::EventLoop &loop, Endpoint endpoint);
+  /// \p localAddress, when given, is the IP number to connect from.
+  HttpConnection(kernel::EventLoop &loop, Endpoint endpoint,
+                 std::string localAddress = {});
   /// Drops a request in flight; its callback is not called.
   ~HttpConnection();
   HttpConnection(const HttpConnection &) = delete;
@@ -59,6 +61,9 @@
   void get(const std::string &path, base::Duration timeout,
            ReplyCallback callback);
   bool isBusy() const;
+  /// Closes the TCP connection; a request in flight gets no callback. The next
+  /// request opens a new one.
+  void disconnect();
   const Endpoint &endpoint() const;
 
 private:
