--- a/baobabpin/replication/Actions.h
+++ b/baobabpin/replication/Actions.h
@@ -5,7 +5,7 @@
 #include "baobabpin/base/LogPosition.h"
 #include "baobabpin/base/Time.h"
 
-#include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
--- /dev/null
+++ b/baobabpin/replication/Confirmation.cpp
@@ -0,0 +1,141 @@
+#include "baobabpin/replication/Confirmation.h"
+
+#include "baobabpin/replication/Promotion.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace baobabpin::replication {
+namespace {
+
+/// Whether the server serves \p term and its log has reached that term.
+bool isInTerm(const ServerKnowledge &server, base::TermNumber term) {
+  return server.Report && server.Report->PromisedTerm == term &&
+         server.Report->Position.Term == term;
+}
+
+} // namespace
+
+std::optional<Leadership> currentPrimary(const GroupState &state) {
+  std::optional<Leadership> best;
+  auto consider = [&](const base::ServerId &primary, base::TermNumber term) {
+    if (term > 0 && !primary.empty() && (!best || term > best->Term))
+      best = Leadership{primary, term};
+  };
+  for (const auto &it : state.Servers) {
+    if (!it.Report)
+      continue;
+    if (it.Report->Role == ServerRole::Replica)
+      consider(it.Report->Primary, it.Report->Term);
+    else if (it.Report->Term == it.Report->PromisedTerm)
+      consider(it.Config.Id, it.Report->Term);
+  }
+  if (!best)
+    return std::nullopt;
+  // A primary that has promised a later term leads no more.
+  const auto *server = findServer(state, best->Primary);
+  if (!server || (server->Report && server->Report->PromisedTerm > best->Term))
+    return std::nullopt;
+  return best;
+}
+
+std::optional<base::TimePoint> termConfirmedSince(const GroupState &state,
+                                                  base::TermNumber term) {
+  std::vector<base::TimePoint> times;
+  for (const auto &it : state.Servers) {
+    if (it.Report && it.Report->PromisedTerm == term)
+      times.push_back(it.PromiseSentAt);
+  }
+  auto majority = majorityOf(state.Config);
+  if (times.size() < majority)
+    return std::nullopt;
+  std::ranges::sort(times, std::greater<>());
+  return times[majority - 1];
+}
+
+bool isTermConfirmedSince(const GroupState &state, base::TermNumber term,
+                          base::TimePoint since) {
+  auto confirmed = termConfirmedSince(state, term);
+  return confirmed && *confirmed >= since;
+}
+
+std::optional<WriteBlock> writeBlock(const GroupState &state,
+                                     base::TimePoint now) {
+  auto stage = state.Promoting.Stage;
+  if (state.Handing.Stage != HandoverStage::Idle)
+    return WriteBlock::HandoverRunning;
+  if (stage == PromotionStage::Preparing || stage == PromotionStage::Promoting)
+    return WriteBlock::PromotionRunning;
+  auto primary = currentPrimary(state);
+  if (!primary)
+    return WriteBlock::NoPrimary;
+  if (internal::isSuspect(state, *findServer(state, primary->Primary), now))
+    return WriteBlock::PrimarySuspect;
+  auto since = now - state.Config.Times.TermConfirmation;
+  if (!isTermConfirmedSince(state, primary->Term, since))
+    return WriteBlock::TermNotConfirmed;
+  return std::nullopt;
+}
+
+bool isConfirmed(const GroupState &state, base::LogPosition position) {
+  for (const auto &candidate : state.Servers) {
+    if (!candidate.Report)
+      continue;
+    auto term = candidate.Report->PromisedTerm;
+    std::size_t holders = 0;
+    for (const auto &it : state.Servers) {
+      if (!isInTerm(it, term))
+        continue;
+      auto check = base::checkPosition(it.Report->TermStarts,
+                                       it.Report->Position, position);
+      if (check == base::PositionCheck::Contained)
+        ++holders;
+    }
+    if (holders >= majorityOf(state.Config))
+      return true;
+  }
+  return false;
+}
+
+bool isReachable(const GroupState &state, const ServerKnowledge &server,
+                 base::TimePoint now) {
+  return server.Report &&
+         now - server.ReportSentAt <= state.Config.Times.ReachableWithin;
+}
+
+std::size_t reachableCount(const GroupState &state, base::TimePoint now) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(state.Servers, [&](const ServerKnowledge &it) {
+        return isReachable(state, it, now);
+      }));
+}
+
+double slowStartWeight(const GroupState &state, const base::ServerId &server,
+                       base::TimePoint now) {
+  const auto &times = state.Config.Times;
+  const auto *known = findServer(state, server);
+  if (!known || !known->ReturnedAt)
+    return 1;
+  std::chrono::duration<double> passed = now - *known->ReturnedAt;
+  std::chrono::duration<double> whole = times.SlowStart;
+  double part = std::clamp(passed / whole, 0.0, 1.0);
+  return times.SlowStartWeight + (1 - times.SlowStartWeight) * part;
+}
+
+std::string_view writeBlockName(WriteBlock block) {
+  switch (block) {
+  case WriteBlock::NoPrimary:
+    return "no_primary";
+  case WriteBlock::TermNotConfirmed:
+    return "term_not_confirmed";
+  case WriteBlock::PrimarySuspect:
+    return "primary_suspect";
+  case WriteBlock::PromotionRunning:
+    return "promotion_running";
+  case WriteBlock::HandoverRunning:
+    return "handover_running";
+  }
+  return "unknown";
+}
+
+} // namespace baobabpin::replication
--- a/baobabpin/replication/Confirmation.h
+++ b/baobabpin/replication/Confirmation.h
@@ -5,6 +5,7 @@
 #include "baobabpin/replication/GroupState.h"
 
 #include <optional>
+#include <string_view>
 
 namespace baobabpin::replication {
 
@@ -40,17 +41,13 @@
 /// contains \p position.
 bool isConfirmed(const GroupState &state, base::LogPosition position);
 
-/// Whether \p position can never be confirmed: a majority is known to serve a
-/// history without it.
-bool isLost(const GroupState &state, base::LogPosition position);
-
 /// Whether the answer of a strict read of \p term may be returned: a majority
 /// confirmed the term by requests sent at or after \p since.
 bool isTermConfirmedSince(const GroupState &state, base::TermNumber term,
                           base::TimePoint since);
 
-/// Whether the server answered a request that was sent within
-/// Timing::ReachableWithin.
+/// Whether the server's newest status answer belongs to a request that was sent
+/// within Timing::ReachableWithin.
 bool isReachable(const GroupState &state, const ServerKnowledge &server,
                  base::TimePoint now);
 
--- /dev/null
+++ b/baobabpin/replication/Freshness.cpp
@@ -0,0 +1,203 @@
+#include "baobabpin/replication/Freshness.h"
+
+#include "baobabpin/replication/Confirmation.h"
+#include "baobabpin/replication/Promotion.h"
+
+#include <algorithm>
+
+namespace baobabpin::replication {
+namespace {
+
+/// Samples kept for each group; one read looks at few of them.
+constexpr std::size_t MaxSamples = 256;
+/// Samples closer than this are merged, so that a busy group keeps seconds.
+constexpr std::chrono::milliseconds SampleSpacing{5};
+
+using Samples = std::deque<FreshnessSample>;
+
+/// The latest sample at or below \p position that is proven.
+const FreshnessSample *provenSample(const Samples &samples,
+                                    base::LogPosition position) {
+  auto it = std::ranges::upper_bound(samples, position, {},
+                                     &FreshnessSample::Position);
+  while (it != samples.begin()) {
+    --it;
+    if (it->ProvenSince)
+      return &*it;
+  }
+  return nullptr;
+}
+
+/// The lowest position that is proven since \p earliest.
+std::optional<base::LogPosition> positionProvenSince(const Samples &samples,
+                                                     base::TimePoint earliest) {
+  for (const auto &it : samples) {
+    if (it.ProvenSince && *it.ProvenSince >= earliest)
+      return it.Position;
+  }
+  return std::nullopt;
+}
+
+base::Duration withDrift(const GroupState &state, base::Duration age) {
+  constexpr std::int64_t Million = 1000000;
+  std::int64_t ppm = state.Config.Times.ClockDriftPpm;
+  return age + base::Duration(age.count() / Million * ppm +
+                              age.count() % Million * ppm / Million + 1);
+}
+
+/// Halves the density of the older half.
+void thin(Samples &samples) {
+  Samples kept;
+  for (std::size_t n = 0; n < samples.size(); ++n) {
+    if (n % 2 == 0 || n >= samples.size() / 2)
+      kept.push_back(samples[n]);
+  }
+  samples = std::move(kept);
+}
+
+Qualification positionFit(const GroupState &state,
+                          const ServerKnowledge &server,
+                          base::LogPosition wanted) {
+  switch (base::checkPosition(server.Report->TermStarts,
+                              server.Report->Position, wanted)) {
+  case base::PositionCheck::Contained:
+    return Qualification::Qualifies;
+  case base::PositionCheck::Superseded:
+    return Qualification::PositionLost;
+  case base::PositionCheck::NotYet:
+    break;
+  }
+  bool close = replicationLag(state, server) < state.Config.Times.ShortLag;
+  return close ? Qualification::SlightlyBehind : Qualification::Behind;
+}
+
+} // namespace
+
+std::optional<base::Duration> provenAge(const GroupState &state,
+                                        base::LogPosition position,
+                                        base::TimePoint now) {
+  const auto *sample = provenSample(state.Samples, position);
+  if (!sample)
+    return std::nullopt;
+  auto age = std::max(now - *sample->ProvenSince, base::Duration::zero());
+  return withDrift(state, age);
+}
+
+bool isYoungEnough(const GroupState &state, const ReadRequirement &wanted,
+                   base::LogPosition answered, base::TimePoint now) {
+  if (!wanted.MaxAge)
+    return true;
+  auto age = provenAge(state, answered, now);
+  return age && *age <= *wanted.MaxAge;
+}
+
+ReadFit qualifyForRead(const GroupState &state, const base::ServerId &server,
+                       const ReadRequirement &wanted, base::TimePoint now) {
+  ReadFit fit;
+  const auto *known = findServer(state, server);
+  if (!known || !known->Report || internal::isSuspect(state, *known, now))
+    return fit;
+  fit.Result = Qualification::Qualifies;
+  if (known->Report->Leaving) {
+    fit.Result = Qualification::Leaving;
+    return fit;
+  }
+  if (wanted.Session) {
+    fit.Guard = *wanted.Session;
+    fit.Result = positionFit(state, *known, *wanted.Session);
+  }
+  if (!wanted.MaxAge || fit.Result != Qualification::Qualifies)
+    return fit;
+  if (!isYoungEnough(state, wanted, known->Report->Position, now)) {
+    fit.Result = Qualification::TooOld;
+    return fit;
+  }
+  auto proven = positionProvenSince(state.Samples, now - *wanted.MaxAge);
+  // In another term the session's position stays the guard: only that check
+  // detects a lost position. The age is checked again on the answer.
+  bool sameTerm = !wanted.Session || wanted.Session->Index == 0 ||
+                  (proven && proven->Term == wanted.Session->Term);
+  if (proven && sameTerm)
+    fit.Guard = std::max(fit.Guard, *proven);
+  return fit;
+}
+
+bool isPositionLost(const GroupState &state, base::LogPosition position) {
+  for (const auto &candidate : state.Servers) {
+    if (!candidate.Report)
+      continue;
+    auto term = candidate.Report->PromisedTerm;
+    std::size_t members = 0;
+    bool superseded = false;
+    for (const auto &it : state.Servers) {
+      if (!it.Report || it.Report->PromisedTerm != term ||
+          it.Report->Position.Term != term)
+        continue;
+      ++members;
+      auto check = base::checkPosition(it.Report->TermStarts,
+                                       it.Report->Position, position);
+      superseded = superseded || check == base::PositionCheck::Superseded;
+    }
+    if (superseded && members >= majorityOf(state.Config))
+      return true;
+  }
+  return false;
+}
+
+base::Duration replicationLag(const GroupState &state,
+                              const ServerKnowledge &server) {
+  if (!server.Report)
+    return base::Duration::max();
+  // The first sample beyond the server's log tells since when it is behind.
+  auto it = std::ranges::upper_bound(state.Samples, server.Report->Position, {},
+                                     &FreshnessSample::Position);
+  if (it == state.Samples.end())
+    return base::Duration::zero();
+  return std::max(server.ReportSentAt - it->SentAt, base::Duration::zero());
+}
+
+namespace internal {
+
+void recordSample(GroupState &state, const ServerReport &report,
+                  base::TimePoint sentAt) {
+  auto &samples = state.Samples;
+  if (!samples.empty()) {
+    auto &last = samples.back();
+    if (report.Position < last.Position)
+      return;
+    if (report.Position == last.Position) {
+      last.SentAt = std::max(last.SentAt, sentAt);
+      return;
+    }
+    if (sentAt < last.SentAt)
+      return;
+  }
+  bool crowded = samples.size() >= 2 &&
+                 sentAt - samples[samples.size() - 2].SentAt < SampleSpacing;
+  if (crowded)
+    samples.pop_back();
+  samples.push_back({.Position = report.Position, .SentAt = sentAt});
+  if (samples.size() > MaxSamples)
+    thin(samples);
+}
+
+void extendProofs(GroupState &state) {
+  if (state.Samples.empty())
+    return;
+  auto term = state.Samples.back().Position.Term;
+  auto confirmed = termConfirmedSince(state, term);
+  if (!confirmed)
+    return;
+  for (auto it = state.Samples.rbegin(); it != state.Samples.rend(); ++it) {
+    bool isFinal = it->ProvenSince && *it->ProvenSince == it->SentAt;
+    if (isFinal || it->Position.Term != term)
+      break;
+    auto since = std::min(it->SentAt, *confirmed);
+    if (!it->ProvenSince || *it->ProvenSince < since)
+      it->ProvenSince = since;
+  }
+}
+
+} // namespace internal
+
+} // namespace baobabpin::replication
--- a/baobabpin/replication/Freshness.h
+++ b/baobabpin/replication/Freshness.h
@@ -51,7 +51,9 @@
                    base::LogPosition answered, base::TimePoint now);
 
 /// Whether \p position is in no surviving history: a majority serves a term
-/// whose history replaced it. Only then a session gets position_lost.
+/// whose history replaced it. Only then may a session get position_lost, and
+/// only then is an unconfirmed write lost. The `position_lost` of one server is
+/// not enough: its term may itself be replaced by one that has the position.
 bool isPositionLost(const GroupState &state, base::LogPosition position);
 
 /// Estimated replication lag of \p server at its last report.
--- a/baobabpin/replication/GroupConfig.h
+++ b/baobabpin/replication/GroupConfig.h
@@ -58,6 +58,12 @@
   base::Duration ReplicationStall = Ms(1000);
   /// Shortest time between two follow requests to one server.
   base::Duration FollowInterval = Ms(200);
+  /// Silence of a primary that replicas hear; the node is then unfit. Above
+  /// SuspectAfter plus ReplicaSilence: replicas notice a crash that much later.
+  base::Duration UnfitAfter = Ms(900);
+  /// Without any primary, wait this long before a promotion: another owner may
+  /// be between its prepare and its promote.
+  base::Duration NoPrimaryFor = Ms(250);
   /// How long a node stays out after it declared itself unfit.
   base::Duration UnfitFor = Ms(10000);
   /// No majority reachable for this long makes the node unfit.
--- /dev/null
+++ b/baobabpin/replication/GroupState.cpp
@@ -0,0 +1,68 @@
+#include "baobabpin/replication/GroupState.h"
+
+namespace baobabpin::replication {
+
+GroupState makeGroupState(GroupConfig config, base::TimePoint now) {
+  GroupState state;
+  for (const auto &it : config.Servers)
+    state.Servers.push_back({.Config = it});
+  state.Config = std::move(config);
+  state.SuspicionStart = now;
+  return state;
+}
+
+const ServerKnowledge *findServer(const GroupState &state,
+                                  const base::ServerId &id) {
+  for (const auto &it : state.Servers) {
+    if (it.Config.Id == id)
+      return &it;
+  }
+  return nullptr;
+}
+
+ServerKnowledge *findServer(GroupState &state, const base::ServerId &id) {
+  return const_cast<ServerKnowledge *>(
+      findServer(static_cast<const GroupState &>(state), id));
+}
+
+std::string_view promotionReasonName(PromotionReason reason) {
+  switch (reason) {
+  case PromotionReason::NoPrimary:
+    return "no_primary";
+  case PromotionReason::PrimarySuspect:
+    return "primary_suspect";
+  case PromotionReason::StrandedPromise:
+    return "stranded_promise";
+  case PromotionReason::ReplicationStall:
+    return "replication_stall";
+  case PromotionReason::Handover:
+    return "handover";
+  }
+  return "unknown";
+}
+
+std::string_view promotionFailureName(PromotionFailure failure) {
+  switch (failure) {
+  case PromotionFailure::LostRace:
+    return "lost_race";
+  case PromotionFailure::NoMajority:
+    return "no_majority";
+  case PromotionFailure::NoPromoteAnswer:
+    return "no_promote_answer";
+  case PromotionFailure::Refused:
+    return "refused";
+  }
+  return "unknown";
+}
+
+std::string_view unfitReasonName(UnfitReason reason) {
+  switch (reason) {
+  case UnfitReason::PrimaryHeardByReplicas:
+    return "primary_heard_by_replicas";
+  case UnfitReason::NoMajorityReachable:
+    return "no_majority_reachable";
+  }
+  return "unknown";
+}
+
+} // namespace baobabpin::replication
--- a/baobabpin/replication/GroupState.h
+++ b/baobabpin/replication/GroupState.h
@@ -11,7 +11,7 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <random>
+#include <set>
 #include <vector>
 
 namespace baobabpin::replication {
@@ -51,21 +51,16 @@
   std::optional<base::TimePoint> ProvenSince;
 };
 
-struct Grant {
-  base::LogPosition Position;
-};
-
 enum class PromotionStage { Idle, Preparing, Promoting, Backoff };
 
 struct Promotion {
   PromotionStage Stage = PromotionStage::Idle;
   PromotionReason Reason = PromotionReason::NoPrimary;
   base::TermNumber Term = 0;
-  base::TimePoint StartedAt;
   base::TimePoint StageAt;
-  std::map<base::ServerId, Grant> Grants;
-  /// Servers that are not expected to answer any more.
-  std::map<base::ServerId, NoAnswerKind> Silent;
+  std::map<base::ServerId, base::LogPosition> Grants;
+  /// Servers whose prepare ended without an answer.
+  std::set<base::ServerId> Silent;
   /// Not chosen while another choice is safe.
   base::ServerId Avoid;
   base::ServerId Chosen;
@@ -108,6 +103,8 @@
   std::optional<base::TimePoint> NoMajoritySince;
   /// Since when no primary is known although servers answer.
   std::optional<base::TimePoint> NoPrimarySince;
+  /// Since when the primary answers but no replica hears it.
+  std::optional<base::TimePoint> StallSince;
   std::optional<base::TimePoint> UnfitUntil;
   bool Suspecting = false;
   /// Primary and term at the last PrimaryChanged.
--- a/baobabpin/replication/Promotion.h
+++ b/baobabpin/replication/Promotion.h
@@ -1,6 +1,7 @@
 /// Failure detection and promotion (design section 4.2).
 #pragma once
 
+#include "baobabpin/replication/Confirmation.h"
 #include "baobabpin/replication/Group.h"
 
 namespace baobabpin::replication::internal {
@@ -11,9 +12,9 @@
 bool isSuspect(const GroupState &state, const ServerKnowledge &server,
                base::TimePoint now);
 
-/// Whether a promotion is called for, and why.
-std::optional<PromotionReason>
-promotionNeeded(GroupState &state, base::TimePoint now, Actions &out);
+/// Starts a promotion when one is called for; declares this node unfit when it
+/// is the one that is cut off.
+void detectFailure(GroupState &state, base::TimePoint now, Actions &out);
 
 void startPromotion(GroupState &state, PromotionReason reason,
                     base::ServerId avoid, base::TimePoint now, Actions &out);
