--- /dev/null
+++ b/baobabpin/owner/OwnerService.cpp
@@ -0,0 +1,215 @@
+#include "baobabpin/owner/OwnerService.h"
+
+#include "baobabpin/base/Hash.h"
+#include "baobabpin/directory/Directory.h"
+#include "baobabpin/membership/MembershipService.h"
+#include "baobabpin/owner/GroupRunner.h"
+
+#include <map>
+
+namespace baobabpin::owner {
+
+using base::ErrorType;
+using base::Outcome;
+using directory::Directory;
+using membership::MembershipService;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto TickPeriod = 10ms;
+/// A group that this node no longer owns is kept this long after its last
+/// statement, because views of the members differ for a while.
+constexpr auto LingerTime = 5s;
+/// Statements that others forward here make this node act as the owner.
+constexpr auto ForwardedOwnership = 2s;
+
+proto::ForwardReply refusal(ErrorType error, const std::string &detail) {
+  proto::ForwardReply reply;
+  reply.set_outcome(std::string(base::outcomeName(Outcome::NotRun)));
+  reply.set_error(std::string(base::errorName(error)));
+  reply.set_detail(detail);
+  reply.set_age_ms(-1);
+  return reply;
+}
+
+} // namespace
+
+struct OwnerService::State {
+  explicit State(OwnerSettings settings) : Settings(std::move(settings)) {}
+
+  OwnerSettings Settings;
+  kernel::Kernel *Kernel = nullptr;
+  Directory *Fleet = nullptr;
+  MembershipService *Members = nullptr;
+  kernel::Timer Ticker;
+  std::map<base::GroupName, std::unique_ptr<GroupRunner>> Runners;
+  /// Names of primary handovers that were started already.
+  std::set<std::string> StartedHandovers;
+  bool Draining = false;
+
+  GroupRunner *runnerOf(const base::GroupName &group);
+  void makeRunner(const base::GroupName &group,
+                  const resources::DatabaseGroup &spec);
+  void updateRunners();
+  void updateOwnership(const base::GroupName &group, GroupRunner &runner);
+  void applyStops();
+  void tick();
+};
+
+void OwnerService::State::makeRunner(const base::GroupName &group,
+                                     const resources::DatabaseGroup &spec) {
+  GroupSettings settings;
+  settings.Group = group;
+  settings.Self = Fleet->self();
+  settings.LocalAddress = Settings.LocalAddress;
+  settings.Baseline = Settings.Baseline;
+  settings.Choose = routing::findChooser(Settings.Chooser);
+  settings.RandomSeed =
+      base::hash64(group, Settings.RandomSeed ^ base::hash64(Fleet->self()));
+  settings.DeclareUnfit = [this, group](base::Duration period) {
+    Members->declareUnfit(group, period);
+  };
+  Runners[group] =
+      std::make_unique<GroupRunner>(*Kernel, std::move(settings), spec);
+  updateOwnership(group, *Runners[group]);
+}
+
+GroupRunner *OwnerService::State::runnerOf(const base::GroupName &group) {
+  auto it = Runners.find(group);
+  if (it != Runners.end())
+    return it->second.get();
+  const auto *spec = Fleet->catalog().findGroup(group);
+  if (!spec)
+    return nullptr;
+  makeRunner(group, *spec);
+  applyStops();
+  return Runners[group].get();
+}
+
+void OwnerService::State::updateOwnership(const base::GroupName &group,
+                                          GroupRunner &runner) {
+  bool owner = !Draining && Fleet->isOwner(group);
+  bool forwarded = Kernel->loop().now() - runner.lastWork() < ForwardedOwnership;
+  runner.setActive(owner || forwarded);
+  runner.setLastResort(owner && Fleet->ownersOf(group).AllUnfit);
+}
+
+void OwnerService::State::updateRunners() {
+  auto now = Kernel->loop().now();
+  for (const auto &group : Fleet->catalog().groupNames()) {
+    if (!Draining && Fleet->isOwner(group))
+      runnerOf(group);
+  }
+  for (auto it = Runners.begin(); it != Runners.end();) {
+    const auto *spec = Fleet->catalog().findGroup(it->first);
+    GroupRunner &runner = *it->second;
+    bool changed = !spec || !(*spec == runner.spec());
+    bool leftOver = !Fleet->isOwner(it->first) && runner.inFlight() == 0 &&
+                    now - runner.lastWork() > LingerTime;
+    if (!changed && !leftOver) {
+      updateOwnership(it->first, runner);
+      ++it;
+      continue;
+    }
+    base::GroupName group = it->first;
+    it = Runners.erase(it);
+    if (spec && Fleet->isOwner(group))
+      makeRunner(group, *spec);
+  }
+  applyStops();
+}
+
+void OwnerService::State::applyStops() {
+  std::set<base::ServerId> servers;
+  std::set<std::string> handovers;
+  for (const auto &[name, stop] : Fleet->catalog().plannedStops()) {
+    if (stop.TargetKind == resources::StopTarget::Server)
+      servers.insert(stop.Target);
+    if (stop.TargetKind != resources::StopTarget::Primary)
+      continue;
+    handovers.insert(name);
+    auto runner = Runners.find(stop.Target);
+    if (runner != Runners.end() && Fleet->isOwner(stop.Target) &&
+        !StartedHandovers.contains(name)) {
+      StartedHandovers.insert(name);
+      runner->second->startHandover();
+    }
+  }
+  // A stop that was deleted may be declared again under the same name.
+  std::erase_if(StartedHandovers,
+                [&](const auto &it) { return !handovers.contains(it); });
+  for (auto &[group, runner] : Runners)
+    runner->setStoppedServers(servers);
+}
+
+void OwnerService::State::tick() {
+  auto now = Kernel->loop().now();
+  for (auto &[group, runner] : Runners)
+    runner->tick(now);
+}
+
+OwnerService::OwnerService(OwnerSettings settings)
+    : Impl(std::make_unique<State>(std::move(settings))) {}
+
+OwnerService::~OwnerService() = default;
+
+base::Result<void> OwnerService::start(kernel::Kernel &kernel) {
+  Impl->Kernel = &kernel;
+  Impl->Fleet = &kernel.find<Directory>("directory");
+  Impl->Members = &kernel.find<MembershipService>("membership");
+  if (!routing::findChooser(Impl->Settings.Chooser))
+    return base::fail(ErrorType::InvalidSettings,
+                      "unknown replica chooser " + Impl->Settings.Chooser);
+  Impl->Fleet->onOwnersChange([this] {
+    // Not from within a runner's own callback: it may be replaced.
+    Impl->Kernel->loop().post([this] { Impl->updateRunners(); });
+  });
+  Impl->updateRunners();
+  Impl->Ticker =
+      kernel.loop().runEvery(TickPeriod, [this] { Impl->tick(); });
+  return {};
+}
+
+void OwnerService::stop() {
+  Impl->Ticker.cancel();
+  Impl->Runners.clear();
+}
+
+void OwnerService::submit(const proto::ForwardRequest &request,
+                          ReplyCallback reply) {
+  bool inTransaction =
+      !request.transaction().empty() &&
+      request.operation() != proto::ForwardRequest::BEGIN;
+  if (Impl->Draining && !inTransaction) {
+    reply(refusal(ErrorType::Draining, "the node is shutting down"));
+    return;
+  }
+  GroupRunner *runner = Impl->runnerOf(request.group());
+  if (!runner) {
+    reply(refusal(ErrorType::UnknownDatabase,
+                  "no group " + request.group() + " is declared"));
+    return;
+  }
+  Impl->updateOwnership(request.group(), *runner);
+  runner->submit(request, std::move(reply));
+}
+
+void OwnerService::drain() {
+  Impl->Draining = true;
+  Impl->updateRunners();
+}
+
+std::size_t OwnerService::inFlight() const {
+  std::size_t n = 0;
+  for (const auto &[group, runner] : Impl->Runners)
+    n += runner->inFlight();
+  return n;
+}
+
+std::string OwnerService::describeGroup(const base::GroupName &group) const {
+  auto it = Impl->Runners.find(group);
+  return it == Impl->Runners.end() ? std::string() : it->second->describe();
+}
+
+} // namespace baobabpin::owner
--- /dev/null
+++ b/baobabpin/owner/TransactionPath.cpp
@@ -0,0 +1,209 @@
+#include "baobabpin/owner/GroupRunner.h"
+
+#include "baobabpin/replication/Confirmation.h"
+
+namespace baobabpin::owner {
+
+using base::ErrorType;
+using base::Outcome;
+using upstream::Answer;
+using upstream::CallOutcome;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A client that went away must not hold one of the few slots.
+constexpr auto IdleLimit = 5s;
+constexpr auto TotalLimit = 30s;
+/// The server ends a transaction without statements after 5 s. Past this, a
+/// commit that is still on its way can no longer succeed.
+constexpr auto CommitSettleTime = 5500ms;
+
+} // namespace
+
+void GroupRunner::submitInTransaction(const PendingPtr &pending) {
+  auto it = Transactions.find(pending->Request.transaction());
+  bool isCommit =
+      pending->Request.operation() == proto::ForwardRequest::COMMIT;
+  if (it == Transactions.end()) {
+    if (isCommit && pending->Request.repeat()) {
+      enqueuePending(pending);
+      pump();
+      return;
+    }
+    // Its owner or its server ended it, so nothing of it ever takes effect. An
+    // earlier commit would have been marked as a repeat.
+    refuse(pending, ErrorType::TransactionLost, "no such open transaction");
+    return;
+  }
+  Transaction &transaction = it->second;
+  if (transaction.Busy) {
+    refuse(pending, ErrorType::BadRequest,
+           "another statement of this transaction is running");
+    return;
+  }
+  transaction.LastUsed = Loop.now();
+  transaction.Busy = true;
+  if (pending->Request.operation() == proto::ForwardRequest::EXECUTE)
+    runInTransaction(pending, transaction);
+  else
+    endTransaction(pending, transaction);
+}
+
+void GroupRunner::beginTransaction(const PendingPtr &pending) {
+  auto primary = replication::currentPrimary(State);
+  auto &link = *Links.at(primary->Primary);
+  Transaction transaction;
+  transaction.Id = Settings.Self + "|" + std::to_string(Rng());
+  transaction.Server = primary->Primary;
+  transaction.Slot = link.reserve();
+  transaction.Term = primary->Term;
+  transaction.StartedAt = Loop.now();
+  transaction.LastUsed = transaction.StartedAt;
+  transaction.Busy = true;
+  std::string id = transaction.Id;
+  Transactions[id] = transaction;
+  link.callIn(
+      *transaction.Slot, upstream::BeginRequest{primary->Term},
+      pending->Deadline - Loop.now(),
+      [this, pending, id](Answer answer, base::TimePoint) {
+        auto &it = Transactions.at(id);
+        it.Busy = false;
+        if (answer.Outcome == CallOutcome::Ok) {
+          it.ServerTransaction = answer.Transaction;
+          proto::ForwardReply reply;
+          reply.set_outcome(std::string(base::outcomeName(Outcome::Answered)));
+          reply.set_transaction(id);
+          reply.set_server(it.Server);
+          reply.set_role("primary");
+          reply.set_age_ms(-1);
+          finish(pending, std::move(reply));
+          return;
+        }
+        base::ServerId server = it.Server;
+        closeTransaction(id, answer.Outcome != CallOutcome::Refused);
+        if (answer.Outcome == CallOutcome::Refused) {
+          onRefused(pending, server, answer);
+        } else {
+          // An orphaned transaction ended with its connection.
+          reportNoAnswer(server, replication::RequestKind::Data, answer);
+          retryLater(pending, 10ms, ErrorType::ConnectionLost);
+        }
+        pump();
+      });
+}
+
+void GroupRunner::runInTransaction(const PendingPtr &pending,
+                                   Transaction &transaction) {
+  upstream::ExecuteRequest call;
+  call.Term = transaction.Term;
+  call.IsWrite = pending->Request.is_write();
+  call.Statement = pending->Request.statement();
+  call.Transaction = transaction.ServerTransaction;
+  Links.at(transaction.Server)
+      ->callIn(*transaction.Slot, call, pending->Deadline - Loop.now(),
+               [this, pending, id = transaction.Id](Answer answer,
+                                                    base::TimePoint) {
+                 auto &it = Transactions.at(id);
+                 it.Busy = false;
+                 it.LastUsed = Loop.now();
+                 switch (answer.Outcome) {
+                 case CallOutcome::Ok:
+                 case CallOutcome::Failed:
+                   pending->AnsweredBy = it.Server;
+                   pending->AnswerTerm = it.Term;
+                   pending->Answer = std::move(answer);
+                   // Nothing is durable before the commit's proof.
+                   this->answer(pending);
+                   return;
+                 default:
+                   closeTransaction(id, true);
+                   refuse(pending, ErrorType::TransactionLost,
+                          "the transaction was rolled back");
+                   pump();
+                 }
+               });
+}
+
+void GroupRunner::endTransaction(const PendingPtr &pending,
+                                 Transaction &transaction) {
+  upstream::EndRequest call;
+  call.Commit = pending->Request.operation() == proto::ForwardRequest::COMMIT;
+  call.Term = transaction.Term;
+  call.Transaction = transaction.ServerTransaction;
+  call.Request = pending->Request.request_id();
+  Links.at(transaction.Server)
+      ->callIn(
+          *transaction.Slot, call, pending->Deadline - Loop.now(),
+          [this, pending, id = transaction.Id](Answer answer,
+                                               base::TimePoint sentAt) {
+            Transaction it = Transactions.at(id);
+            bool settled = answer.Outcome == CallOutcome::Ok ||
+                           answer.Outcome == CallOutcome::Failed;
+            closeTransaction(id, !settled);
+            if (settled) {
+              onPrimaryAnswer(pending, it.Server, it.Term, std::move(answer),
+                              sentAt);
+            } else if (answer.Outcome == CallOutcome::Lost && isWrite(*pending)) {
+              reportNoAnswer(it.Server, replication::RequestKind::Data, answer);
+              finishUnknown(pending, ErrorType::TransactionLost);
+            } else {
+              refuse(pending, ErrorType::TransactionLost,
+                     "the transaction was rolled back");
+            }
+            reportWritesInFlight();
+            pump();
+          });
+}
+
+void GroupRunner::closeTransaction(const std::string &id, bool discard) {
+  auto it = Transactions.find(id);
+  Links.at(it->second.Server)->release(*it->second.Slot, discard);
+  Transactions.erase(it);
+}
+
+void GroupRunner::repeatCommit(const PendingPtr &pending) {
+  auto primary = replication::currentPrimary(State);
+  upstream::EndRequest call;
+  call.Commit = true;
+  call.Term = primary->Term;
+  call.Transaction = pending->Request.transaction();
+  call.Request = pending->Request.request_id();
+  ++Sent;
+  Links.at(primary->Primary)
+      ->call(call, pending->Deadline - Loop.now(),
+             [this, pending, server = primary->Primary,
+              term = primary->Term](Answer answer, base::TimePoint sentAt) {
+               --Sent;
+               bool isGone = answer.Outcome == CallOutcome::Refused &&
+                             answer.Error == ErrorType::UnknownTransaction;
+               if (!isGone) {
+                 onPrimaryAnswer(pending, server, term, std::move(answer),
+                                 sentAt);
+               } else if (Loop.now() - pending->ArrivedAt >= CommitSettleTime) {
+                 pending->KnownNotRun = true;
+                 refuse(pending, ErrorType::TransactionLost,
+                        "the transaction was rolled back");
+               } else {
+                 park(pending, 500ms);
+               }
+               pump();
+             });
+}
+
+void GroupRunner::boundTransactions(base::TimePoint now) {
+  std::vector<std::string> expired;
+  for (const auto &[id, it] : Transactions) {
+    bool idle = !it.Busy && now - it.LastUsed >= IdleLimit;
+    if (idle || (!it.Busy && now - it.StartedAt >= TotalLimit))
+      expired.push_back(id);
+  }
+  for (const auto &id : expired) {
+    record("transaction_expired", {{"transaction", id}});
+    closeTransaction(id, true);
+  }
+  if (!expired.empty())
+    reportWritesInFlight();
+}
+
+} // namespace baobabpin::owner
