--- /dev/null
+++ b/baobabpin/platform/HostList.h
@@ -0,0 +1,41 @@
+/// Polls the platform's list of hosts, which is a lagging hint.
+#pragma once
+
+#include "baobabpin/kernel/EventLoop.h"
+#include "baobabpin/platform/Backoff.h"
+#include "baobabpin/platform/StoreClient.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace baobabpin::platform {
+
+/// Hosts that turned from live or unknown to leaving.
+std::vector<std::string>
+newlyLeaving(const std::map<std::string, HostState> &before,
+             const std::vector<HostEntry> &after);
+
+class HostList {
+public:
+  /// \p onLeaving is called once for each host that turns to leaving.
+  HostList(kernel::EventLoop &loop, StoreClient &store,
+           std::chrono::milliseconds period,
+           std::function<void(const std::string &host)> onLeaving,
+           std::uint64_t randomSeed);
+  ~HostList();
+  HostList(const HostList &) = delete;
+  HostList &operator=(const HostList &) = delete;
+
+  void start();
+  void stop();
+  /// The last list received.
+  const std::map<std::string, HostState> &hosts() const;
+
+private:
+  struct State;
+  std::shared_ptr<State> Impl;
+};
+
+} // namespace baobabpin::platform
