--- a/baobabpin/membership/MemberList.h
+++ b/baobabpin/membership/MemberList.h
@@ -47,6 +47,9 @@
 inline constexpr std::size_t MaxDatagramBytes = 1200;
 /// Kept free in each datagram for the code, the digest and the clock stamp.
 inline constexpr std::size_t ReservedBytes = 120;
+/// Bound of a node's own record, so that others fit into the datagram as well;
+/// unfit groups beyond it are left out, those that expire first.
+inline constexpr std::size_t MaxRecordBytes = 500;
 
 struct Outgoing {
   /// "address:port".
@@ -70,6 +73,7 @@
   base::TimePoint Deadline;
   /// This node's own probe failed, so it keeps probing the suspect.
   bool ProbedHere = false;
+  base::TimePoint NextPing;
 };
 
 /// A probe that waits for its acknowledgement.
@@ -108,7 +112,11 @@
   std::vector<MemberChange> Changes;
   std::mt19937_64 Random;
   std::uint64_t NextSequence = 1;
+  /// Cursor of the list pull that a starting node makes; see LIST_REQUEST.
+  std::string ListCursor;
   bool ListPulled = false;
+  /// Members to ping at the next tick, because the own record changed.
+  int PromptPings = 0;
   base::TimePoint LastTick;
   base::TimePoint NextProbe;
   base::TimePoint NextDeadProbe;
@@ -142,6 +150,9 @@
 /// Datagrams that tell some members that this process ends now.
 std::vector<Outgoing> farewell(MemberList &list);
 
+/// Datagrams in which one update is repeated by a node of a fleet of \p n.
+int retransmitLimit(std::size_t n);
+
 /// Changes since the last call.
 std::vector<MemberChange> takeChanges(MemberList &list);
 
