Bound the clock allowance from above, take reads of the primary as samples

0.999 * 1.001 is below 1, so an age measured by a slow clock could be stated too low; the allowance divides by (1 - drift) now. A read of the primary shows the end of its log and serves as a freshness sample.

--- a/baobabpin/replication/Freshness.cpp
+++ b/baobabpin/replication/Freshness.cpp
@@ -4,6 +4,7 @@
 #include "baobabpin/replication/Promotion.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace baobabpin::replication {
 namespace {
@@ -38,11 +39,13 @@
   return std::nullopt;
 }
 
+/// The true duration of an interval that a slow clock measured, at most. A
+/// clock that is slow by r shows (1 - r) of it.
 base::Duration withDrift(const GroupState &state, base::Duration age) {
   constexpr std::int64_t Million = 1000000;
   std::int64_t ppm = state.Config.Times.ClockDriftPpm;
-  return age + base::Duration(age.count() / Million * ppm +
-                              age.count() % Million * ppm / Million + 1);
+  auto allowance = age / (Million - ppm) * ppm;
+  return age + allowance + base::Duration(ppm);
 }
 
 /// Halves the density of the older half.
@@ -158,14 +161,14 @@
 
 namespace internal {
 
-void recordSample(GroupState &state, const ServerReport &report,
+void recordSample(GroupState &state, base::LogPosition position,
                   base::TimePoint sentAt) {
   auto &samples = state.Samples;
   if (!samples.empty()) {
     auto &last = samples.back();
-    if (report.Position < last.Position)
+    if (position < last.Position)
       return;
-    if (report.Position == last.Position) {
+    if (position == last.Position) {
       last.SentAt = std::max(last.SentAt, sentAt);
       return;
     }
@@ -176,7 +179,7 @@
                  sentAt - samples[samples.size() - 2].SentAt < SampleSpacing;
   if (crowded)
     samples.pop_back();
-  samples.push_back({.Position = report.Position, .SentAt = sentAt});
+  samples.push_back({.Position = position, .SentAt = sentAt});
   if (samples.size() > MaxSamples)
     thin(samples);
 }
@@ -188,13 +191,13 @@
   auto confirmed = termConfirmedSince(state, term);
   if (!confirmed)
     return;
-  for (auto it = state.Samples.rbegin(); it != state.Samples.rend(); ++it) {
-    bool isFinal = it->ProvenSince && *it->ProvenSince == it->SentAt;
-    if (isFinal || it->Position.Term != term)
+  for (auto &it : std::ranges::reverse_view(state.Samples)) {
+    bool isFinal = it.ProvenSince && *it.ProvenSince == it.SentAt;
+    if (isFinal || it.Position.Term != term)
       break;
-    auto since = std::min(it->SentAt, *confirmed);
-    if (!it->ProvenSince || *it->ProvenSince < since)
-      it->ProvenSince = since;
+    auto since = std::min(it.SentAt, *confirmed);
+    if (!it.ProvenSince || *it.ProvenSince < since)
+      it.ProvenSince = since;
   }
 }
 
--- a/baobabpin/replication/Freshness.h
+++ b/baobabpin/replication/Freshness.h
@@ -61,10 +61,11 @@
                               const ServerKnowledge &server);
 
 namespace internal {
-/// Takes a report of the primary as a sample, and extends the proofs by what
-/// the newest reports confirm.
-void recordSample(GroupState &state, const ServerReport &report,
+/// Takes the end of the primary's log as a sample. It was the end at some time
+/// after \p sentAt.
+void recordSample(GroupState &state, base::LogPosition position,
                   base::TimePoint sentAt);
+/// Extends the proofs by what the newest reports confirm.
 void extendProofs(GroupState &state);
 } // namespace internal
 
--- a/baobabpin/replication/Group.cpp
+++ b/baobabpin/replication/Group.cpp
@@ -255,7 +255,7 @@
                report.Term == report.PromisedTerm &&
                report.Position.Term == report.Term;
   if (leads)
-    internal::recordSample(state, report, sentAt);
+    internal::recordSample(state, report.Position, sentAt);
   advance(state, receivedAt, rng, out);
   return out;
 }
@@ -279,6 +279,10 @@
         known.Position.Term == known.PromisedTerm)
       known.Position = std::max(known.Position, report.Position);
   }
+  // Only the primary of a term accepts a request that carries it.
+  if (report.IsLogEnd && report.AcceptedTerm > 0 &&
+      report.Position.Term == report.AcceptedTerm)
+    internal::recordSample(state, report.Position, sentAt);
   advance(state, receivedAt, rng, out);
   return out;
 }
--- a/baobabpin/replication/ServerReport.h
+++ b/baobabpin/replication/ServerReport.h
@@ -40,6 +40,8 @@
   /// The request's term when the server accepted it, 0 for reads of any term.
   base::TermNumber AcceptedTerm = 0;
   base::LogPosition Position;
+  /// Whether Position was the end of the log; not so for a replayed answer.
+  bool IsLogEnd = false;
 };
 
 /// Answer to prepare(term, candidate).
