--- a/standins/upstream/Database.h
+++ b/standins/upstream/Database.h
@@ -107,7 +107,7 @@
   /// Truncated: the entry's request ID. RolledBack: the transaction.
   /// Followed: the primary.
   std::string Subject;
-  /// RolledBack: "idle", "closed" or "stepped_down".
+  /// RolledBack: "idle", "closed", "requested" or "stepped_down".
   std::string Reason;
 };
 std::string_view eventName(DatabaseEvent::Kind kind);
@@ -127,6 +127,7 @@
   /// When the primary was last heard; on the primary itself unused.
   TimePoint PrimaryHeard;
   bool Leaving = false;
+  TimePoint Opened;
 
   /// Entry i has index i + 1.
   std::vector<AppliedEntry> Log;
