--- a/baobabpin/replication/Freshness.cpp
+++ b/baobabpin/replication/Freshness.cpp
@@ -4,7 +4,6 @@
 #include "baobabpin/replication/Promotion.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace baobabpin::replication {
 namespace {
@@ -191,7 +190,8 @@
   auto confirmed = termConfirmedSince(state, term);
   if (!confirmed)
     return;
-  for (auto &it : std::ranges::reverse_view(state.Samples)) {
+  for (std::size_t n = state.Samples.size(); n > 0; --n) {
+    auto &it = state.Samples[n - 1];
     bool isFinal = it.ProvenSince && *it.ProvenSince == it.SentAt;
     if (isFinal || it.Position.Term != term)
       break;
