--- a/baobabpin/resources/ResourceCatalog.h
+++ b/baobabpin/resources/ResourceCatalog.h
@@ -35,6 +35,8 @@
   Spec ResourceSpec;
 };
 
+/// Where a customer's database has several admissions, or a class several
+/// allowances, the first by name counts; validateChange refuses to add them.
 class ResourceCatalog {
 public:
   using SpecMap = std::map<ResourceId, ResourceRecord>;
@@ -90,7 +92,7 @@
   std::map<ResourceId, std::uint64_t> Revisions;
   std::uint64_t Highest = 0;
   std::map<DatabaseKey, std::vector<base::GroupName>> Groups;
-  std::map<base::ServerId, base::GroupName> ServerGroups;
+  std::map<base::ServerId, std::vector<base::GroupName>> ServerGroups;
   std::map<DatabaseKey, std::vector<std::string>> Admissions;
   std::map<ClassKey, std::vector<std::string>> Allowances;
 };
