Add the client of the platform's store and host list

Configuration and the host list come from the platform over HTTP/JSON. Replies are typed: a change whose answer was lost is Unknown, which is told apart from Unavailable (nothing changed).

--- /dev/null
+++ b/baobabpin/platform/HostList.cpp
@@ -0,0 +1,89 @@
+#include "baobabpin/platform/HostList.h"
+
+namespace baobabpin::platform {
+
+std::vector<std::string>
+newlyLeaving(const std::map<std::string, HostState> &before,
+             const std::vector<HostEntry> &after) {
+  std::vector<std::string> leaving;
+  for (const auto &it : after) {
+    if (it.State != HostState::Leaving)
+      continue;
+    auto known = before.find(it.Host);
+    if (known == before.end() || known->second != HostState::Leaving)
+      leaving.push_back(it.Host);
+  }
+  return leaving;
+}
+
+struct HostList::State : std::enable_shared_from_this<HostList::State> {
+  State(kernel::EventLoop &loop, StoreClient &store,
+        std::chrono::milliseconds period,
+        std::function<void(const std::string &)> onLeaving,
+        std::uint64_t randomSeed)
+      : Loop(loop), Store(store), Period(period),
+        OnLeaving(std::move(onLeaving)), Random(randomSeed) {}
+
+  kernel::EventLoop &Loop;
+  StoreClient &Store;
+  std::chrono::milliseconds Period;
+  std::function<void(const std::string &)> OnLeaving;
+  std::mt19937_64 Random;
+  Backoff Delay;
+  kernel::Timer Next;
+  bool Running = false;
+  std::uint64_t Run = 0;
+  std::map<std::string, HostState> Hosts;
+
+  void poll() {
+    Store.hosts([weak = weak_from_this(), run = Run](const StoreReply &reply) {
+      auto self = weak.lock();
+      if (self && self->Running && self->Run == run)
+        self->onReply(reply);
+    });
+  }
+
+  void onReply(const StoreReply &reply) {
+    if (reply.Status != StoreStatus::Ok) {
+      Next =
+          Loop.runAfter(Period + nextDelay(Delay, Random), [this] { poll(); });
+      return;
+    }
+    reset(Delay);
+    std::vector<std::string> leaving = newlyLeaving(Hosts, reply.Hosts);
+    Hosts.clear();
+    for (const auto &it : reply.Hosts)
+      Hosts[it.Host] = it.State;
+    Next = Loop.runAfter(Period, [this] { poll(); });
+    for (const auto &it : leaving)
+      OnLeaving(it);
+  }
+};
+
+HostList::HostList(kernel::EventLoop &loop, StoreClient &store,
+                   std::chrono::milliseconds period,
+                   std::function<void(const std::string &host)> onLeaving,
+                   std::uint64_t randomSeed)
+    : Impl(std::make_shared<State>(loop, store, period, std::move(onLeaving),
+                                   randomSeed)) {}
+
+HostList::~HostList() { stop(); }
+
+void HostList::start() {
+  if (Impl->Running)
+    return;
+  Impl->Running = true;
+  ++Impl->Run;
+  Impl->poll();
+}
+
+void HostList::stop() {
+  Impl->Running = false;
+  Impl->Next.cancel();
+}
+
+const std::map<std::string, HostState> &HostList::hosts() const {
+  return Impl->Hosts;
+}
+
+} // namespace baobabpin::platform
--- /dev/null
+++ b/baobabpin/platform/StoreClient.cpp
@@ -0,0 +1,207 @@
+#include "baobabpin/platform/StoreClient.h"
+
+#include "baobabpin/platform/StoreMessages.h"
+
+#include <deque>
+
+namespace baobabpin::platform {
+namespace {
+
+using internal::CallEffect;
+using nlohmann::json;
+
+/// Simultaneous calls of one node; more wait, so that a burst of operators'
+/// writes cannot exceed the store's rates. One is held by a pending watch.
+constexpr std::size_t MaxConnections = 5;
+
+struct Call {
+  const char *Name = "";
+  std::string Path;
+  /// Null for a GET.
+  json Body;
+  CallEffect Effect = CallEffect::Reads;
+  std::chrono::milliseconds Timeout{0};
+  StoreCallback Callback;
+};
+
+} // namespace
+
+std::string_view storeStatusName(StoreStatus status) {
+  switch (status) {
+  case StoreStatus::Ok:
+    return "ok";
+  case StoreStatus::Conflict:
+    return "conflict";
+  case StoreStatus::NotFound:
+    return "not_found";
+  case StoreStatus::Compacted:
+    return "compacted";
+  case StoreStatus::Unavailable:
+    return "unavailable";
+  case StoreStatus::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+struct StoreClient::State : std::enable_shared_from_this<StoreClient::State> {
+  State(kernel::EventLoop &loop, kernel::Metrics &metrics,
+        http::Endpoint endpoint, StoreTimeouts timeouts)
+      : Loop(loop), Metrics(metrics), Endpoint(std::move(endpoint)),
+        Timeouts(timeouts) {}
+
+  kernel::EventLoop &Loop;
+  kernel::Metrics &Metrics;
+  http::Endpoint Endpoint;
+  StoreTimeouts Timeouts;
+  std::vector<std::unique_ptr<http::HttpConnection>> Connections;
+  std::deque<Call> Waiting;
+
+  void submit(Call call) {
+    Waiting.push_back(std::move(call));
+    startWaiting();
+  }
+
+  void startWaiting() {
+    while (!Waiting.empty()) {
+      http::HttpConnection *connection = idleConnection();
+      if (!connection)
+        return;
+      Call call = std::move(Waiting.front());
+      Waiting.pop_front();
+      start(*connection, std::move(call));
+    }
+  }
+
+  http::HttpConnection *idleConnection() {
+    for (auto &it : Connections) {
+      if (!it->isBusy())
+        return it.get();
+    }
+    if (Connections.size() == MaxConnections)
+      return nullptr;
+    Connections.push_back(
+        std::make_unique<http::HttpConnection>(Loop, Endpoint));
+    return Connections.back().get();
+  }
+
+  void start(http::HttpConnection &connection, Call call) {
+    std::string path = call.Path;
+    std::string body = call.Body.is_null() ? "" : call.Body.dump();
+    bool isGet = call.Body.is_null();
+    auto timeout = call.Timeout;
+    auto done = [weak = weak_from_this(),
+                 call = std::move(call)](const http::HttpReply &reply) {
+      if (auto self = weak.lock())
+        self->finish(call, reply);
+    };
+    if (isGet)
+      connection.get(path, timeout, std::move(done));
+    else
+      connection.post(path, std::move(body), timeout, std::move(done));
+  }
+
+  void finish(const Call &call, const http::HttpReply &reply) {
+    StoreReply parsed = internal::parseReply(reply, call.Effect);
+    Metrics
+        .counter("baobabpin_store_calls_total",
+                 "Calls of the platform's store.",
+                 {{"call", call.Name},
+                  {"status", std::string(storeStatusName(parsed.Status))}})
+        .Increment();
+    startWaiting();
+    call.Callback(std::move(parsed));
+  }
+};
+
+StoreClient::StoreClient(kernel::EventLoop &loop, kernel::Metrics &metrics,
+                         http::Endpoint endpoint, StoreTimeouts timeouts)
+    : Impl(std::make_shared<State>(loop, metrics, std::move(endpoint),
+                                   timeouts)) {}
+
+StoreClient::~StoreClient() = default;
+
+void StoreClient::get(const std::string &key, StoreCallback callback) {
+  Impl->submit({"get",
+                "/v1/get",
+                {{"key", key}},
+                CallEffect::Reads,
+                Impl->Timeouts.Call,
+                std::move(callback)});
+}
+
+void StoreClient::range(const std::string &prefix, StoreCallback callback) {
+  Impl->submit({"range",
+                "/v1/range",
+                {{"prefix", prefix}},
+                CallEffect::Reads,
+                Impl->Timeouts.Call,
+                std::move(callback)});
+}
+
+void StoreClient::put(const std::string &key, const std::string &value,
+                      std::uint64_t expectedRevision, const std::string &lease,
+                      StoreCallback callback) {
+  json body{
+      {"key", key}, {"value", value}, {"expected_revision", expectedRevision}};
+  if (!lease.empty())
+    body["lease"] = lease;
+  Impl->submit({"put", "/v1/put", std::move(body), CallEffect::Changes,
+                Impl->Timeouts.Call, std::move(callback)});
+}
+
+void StoreClient::erase(const std::string &key, std::uint64_t expectedRevision,
+                        StoreCallback callback) {
+  Impl->submit({"delete",
+                "/v1/delete",
+                {{"key", key}, {"expected_revision", expectedRevision}},
+                CallEffect::Changes,
+                Impl->Timeouts.Call,
+                std::move(callback)});
+}
+
+void StoreClient::watch(const std::string &prefix, std::uint64_t fromRevision,
+                        std::chrono::milliseconds wait,
+                        StoreCallback callback) {
+  json body{{"prefix", prefix},
+            {"from_revision", fromRevision},
+            {"wait_ms", wait.count()}};
+  Impl->submit({"watch", "/v1/watch", std::move(body), CallEffect::Reads,
+                wait + Impl->Timeouts.WatchGrace, std::move(callback)});
+}
+
+void StoreClient::grantLease(std::chrono::milliseconds timeToLive,
+                             StoreCallback callback) {
+  Impl->submit({"lease_grant",
+                "/v1/lease/grant",
+                {{"ttl_ms", timeToLive.count()}},
+                CallEffect::Changes,
+                Impl->Timeouts.Call,
+                std::move(callback)});
+}
+
+void StoreClient::renewLease(const std::string &lease, StoreCallback callback) {
+  Impl->submit({"lease_renew",
+                "/v1/lease/renew",
+                {{"lease", lease}},
+                CallEffect::Changes,
+                Impl->Timeouts.Call,
+                std::move(callback)});
+}
+
+void StoreClient::revokeLease(const std::string &lease,
+                              StoreCallback callback) {
+  Impl->submit({"lease_revoke",
+                "/v1/lease/revoke",
+                {{"lease", lease}},
+                CallEffect::Changes,
+                Impl->Timeouts.Call,
+                std::move(callback)});
+}
+
+void StoreClient::hosts(StoreCallback callback) {
+  Impl->submit({"hosts", "/v1/hosts", nullptr, CallEffect::Reads,
+                Impl->Timeouts.Call, std::move(callback)});
+}
+
+} // namespace baobabpin::platform
--- /dev/null
+++ b/baobabpin/platform/StoreMessages.cpp
@@ -0,0 +1,88 @@
+#include "baobabpin/platform/StoreMessages.h"
+
+namespace baobabpin::platform::internal {
+namespace {
+
+using nlohmann::json;
+
+StoreEntry parseEntry(const json &in) {
+  StoreEntry entry;
+  entry.Key = in.value("key", "");
+  entry.Deleted = in.value("deleted", false);
+  if (!entry.Deleted)
+    entry.Value = in.value("value", "");
+  entry.Revision = in.value("revision", std::uint64_t{0});
+  return entry;
+}
+
+void parseHosts(const json &in, StoreReply &reply) {
+  for (const auto &it : in) {
+    bool leaving = it.value("state", "live") == "leaving";
+    reply.Hosts.push_back(
+        {it.value("host", ""), leaving ? HostState::Leaving : HostState::Live});
+  }
+}
+
+void parseBody(const std::string &body, StoreReply &reply) {
+  json in = json::parse(body);
+  if (in.is_array()) {
+    parseHosts(in, reply);
+    return;
+  }
+  reply.Revision = in.value("revision", std::uint64_t{0});
+  reply.Lease = in.value("lease", "");
+  if (in.contains("key"))
+    reply.Entries.push_back(parseEntry(in));
+  for (const char *list : {"entries", "events"}) {
+    if (!in.contains(list))
+      continue;
+    for (const auto &it : in.at(list))
+      reply.Entries.push_back(parseEntry(it));
+  }
+  if (in.contains("hosts"))
+    parseHosts(in.at("hosts"), reply);
+}
+
+StoreStatus statusOf(int status, StoreStatus lost) {
+  switch (status) {
+  case 200:
+    return StoreStatus::Ok;
+  case 404:
+    return StoreStatus::NotFound;
+  case 409:
+    return StoreStatus::Conflict;
+  case 410:
+    return StoreStatus::Compacted;
+  default:
+    break;
+  }
+  // 503 and the caller's faults (4xx) are answered before anything is done.
+  bool refused = status == 503 || (status >= 400 && status < 500);
+  return refused ? StoreStatus::Unavailable : lost;
+}
+
+} // namespace
+
+StoreReply parseReply(const http::HttpReply &reply, CallEffect effect) {
+  StoreReply parsed;
+  StoreStatus lost = effect == CallEffect::Changes ? StoreStatus::Unknown
+                                                   : StoreStatus::Unavailable;
+  if (reply.Result != http::Transfer::Completed) {
+    bool notSent = reply.Result == http::Transfer::NotSent;
+    parsed.Status = notSent ? StoreStatus::Unavailable : lost;
+    return parsed;
+  }
+  parsed.Status = statusOf(reply.Status, lost);
+  if (parsed.Status != StoreStatus::Ok &&
+      parsed.Status != StoreStatus::Conflict)
+    return parsed;
+  try {
+    parseBody(reply.Body, parsed);
+  } catch (const json::exception &) {
+    parsed = {};
+    parsed.Status = lost;
+  }
+  return parsed;
+}
+
+} // namespace baobabpin::platform::internal
