--- a/standins/upstream/Database.h
+++ b/standins/upstream/Database.h
@@ -189,6 +189,9 @@
 /// call takes no slot.
 Answer checkExecute(const Database &db, TimePoint now, const ExecuteCall &call);
 
+/// What begin() would refuse.
+Answer checkBegin(const Database &db, TermNumber term);
+
 /// Opens a transaction of \p connection. Only the primary of \p term does.
 Answer begin(Database &db, TimePoint now, TermNumber term,
              std::uint64_t connection);
--- a/standins/upstream/Transactions.cpp
+++ b/standins/upstream/Transactions.cpp
@@ -126,6 +126,10 @@
 
 } // namespace internal
 
+Answer checkBegin(const Database &db, TermNumber term) {
+  return internal::checkLeads(db, term);
+}
+
 Answer begin(Database &db, TimePoint now, TermNumber term,
              std::uint64_t connection) {
   if (Answer answer = internal::checkLeads(db, term); !answer.isOk())
