Assemble the node: gateway, router, owner and settings

Cause: the whole path from a caller to an upstream server must run. Change: packages directory, owner, gateway and node with the binary baobabpin. Result: builds; the path is not yet run end to end.

--- a/baobabpin/base/Errors.cpp
+++ b/baobabpin/base/Errors.cpp
@@ -19,6 +19,7 @@
     ErrorName{ErrorType::NotCaughtUp, "not_caught_up"},
     ErrorName{ErrorType::TooStale, "too_stale"},
     ErrorName{ErrorType::Overloaded, "overloaded"},
+    ErrorName{ErrorType::TooManyConnections, "too_many_connections"},
     ErrorName{ErrorType::DeadlineExceeded, "deadline_exceeded"},
     ErrorName{ErrorType::NoPrimary, "no_primary"},
     ErrorName{ErrorType::StaleTerm, "stale_term"},
--- a/baobabpin/base/Errors.h
+++ b/baobabpin/base/Errors.h
@@ -34,6 +34,7 @@
   NotCaughtUp,        ///< No server reached the required position in time.
   TooStale,           ///< No data as fresh as the stated age is reachable.
   Overloaded,         ///< Queue full or connection limit reached.
+  TooManyConnections, ///< The upstream server accepts no further connection.
   DeadlineExceeded,   ///< The request's timeout passed.
   NoPrimary,          ///< No server leads the group at present.
   StaleTerm,          ///< The server serves another term.
--- a/baobabpin/directory/Directory.cpp
+++ b/baobabpin/directory/Directory.cpp
@@ -33,15 +33,15 @@
         return Catalog.apply({record.Key, record.Revision, record.Value});
       },
       [&](const base::Failure &failure) {
-        Log->record("resource_refused", {{"key", record.Key},
-                                         {"detail", failure.Detail}});
+        Log->record("resource_refused",
+                    {{"key", record.Key}, {"detail", failure.Detail}});
         return false;
       });
   if (!changed)
     return;
-  Log->record("resource_applied",
-              {{"key", record.Key},
-               {"revision", std::to_string(record.Revision)}});
+  Log->record(
+      "resource_applied",
+      {{"key", record.Key}, {"revision", std::to_string(record.Revision)}});
   for (const auto &it : CatalogCallbacks)
     it();
   forgetOrders();
@@ -53,8 +53,7 @@
     it();
 }
 
-OwnerOrder
-Directory::State::computeOrder(const base::GroupName &group) const {
+OwnerOrder Directory::State::computeOrder(const base::GroupName &group) const {
   std::vector<base::AvailabilityZone> zones;
   if (const auto *spec = Catalog.findGroup(group)) {
     for (const auto &it : spec->Servers)
--- /dev/null
+++ b/baobabpin/gateway/CallerMessages.cpp
@@ -0,0 +1,203 @@
+#include "baobabpin/gateway/CallerMessages.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace baobabpin::gateway {
+
+using base::ErrorType;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t MaxNameBytes = 128;
+constexpr std::size_t MaxSessions = 16;
+constexpr std::int64_t MaxAgeMs = 3'600'000;
+
+/// Reads known fields of an object and refuses all others.
+class RequestReader {
+public:
+  explicit RequestReader(const json &body) : Body(body) {}
+
+  base::Result<std::string> text(const char *key, std::size_t most) {
+    auto it = Body.find(key);
+    if (it == Body.end())
+      return std::string();
+    ++Read;
+    if (!it->is_string())
+      return wrong(key, "a string");
+    auto value = it->get<std::string>();
+    if (value.size() > most)
+      return base::fail(ErrorType::RequestTooLarge,
+                        std::string(key) + " is longer than " +
+                            std::to_string(most) + " bytes");
+    return value;
+  }
+
+  base::Result<std::optional<std::chrono::milliseconds>>
+  milliseconds(const char *key, std::int64_t most) {
+    auto it = Body.find(key);
+    if (it == Body.end())
+      return std::optional<std::chrono::milliseconds>();
+    ++Read;
+    if (!it->is_number_integer() || *it < 0 || *it > most)
+      return wrong(key, "an integer from 0 to " + std::to_string(most));
+    return std::optional(std::chrono::milliseconds(it->get<std::int64_t>()));
+  }
+
+  base::Result<bool> flag(const char *key) {
+    auto it = Body.find(key);
+    if (it == Body.end())
+      return false;
+    ++Read;
+    if (!it->is_boolean())
+      return wrong(key, "true or false");
+    return it->get<bool>();
+  }
+
+  base::Result<void> sessions(CallerRequest &request) {
+    auto it = Body.find("session");
+    if (it == Body.end())
+      return {};
+    ++Read;
+    request.HasSession = true;
+    const json list = it->is_array() ? *it : json::array({*it});
+    if (list.size() > MaxSessions)
+      return wrong("session", "at most 16 tokens");
+    for (const auto &token : list) {
+      if (!token.is_string())
+        return wrong("session", "a token or a list of tokens");
+      if (auto text = token.get<std::string>(); !text.empty())
+        request.Sessions.push_back(std::move(text));
+    }
+    return {};
+  }
+
+  base::Result<void> finish() const {
+    if (Read != Body.size())
+      return base::fail(ErrorType::BadRequest, "the request has unknown keys");
+    return {};
+  }
+
+  static base::leaf::error_id wrong(const std::string &key,
+                                    const std::string &accepted) {
+    return base::fail(ErrorType::BadRequest, key + " must be " + accepted);
+  }
+
+private:
+  const json &Body;
+  std::size_t Read = 0;
+};
+
+base::Result<void> readExecute(RequestReader &reader, CallerRequest &request) {
+  BOOST_LEAF_ASSIGN(request.Statement,
+                    reader.text("statement", MaxStatementBytes));
+  if (request.Statement.empty())
+    return RequestReader::wrong("statement", "a statement");
+  BOOST_LEAF_AUTO(kind, reader.text("kind", MaxNameBytes));
+  if (kind != "read" && kind != "write")
+    return RequestReader::wrong("kind", "read or write");
+  request.IsWrite = kind == "write";
+  BOOST_LEAF_ASSIGN(request.MaxAge,
+                    reader.milliseconds("max_age_ms", MaxAgeMs));
+  return {};
+}
+
+base::Result<void> readCommon(RequestReader &reader, CallerRequest &request) {
+  BOOST_LEAF_ASSIGN(request.Customer, reader.text("customer", MaxNameBytes));
+  BOOST_LEAF_ASSIGN(request.Database, reader.text("database", MaxNameBytes));
+  BOOST_LEAF_ASSIGN(request.Group, reader.text("group", MaxNameBytes));
+  BOOST_LEAF_ASSIGN(request.RoutingKey,
+                    reader.text("routing_key", MaxNameBytes));
+  BOOST_LEAF_ASSIGN(request.Class, reader.text("class", MaxNameBytes));
+  BOOST_LEAF_ASSIGN(request.RequestId, reader.text("request_id", MaxNameBytes));
+  BOOST_LEAF_ASSIGN(request.Repeat, reader.flag("repeat"));
+  BOOST_LEAF_ASSIGN(request.Timeout,
+                    reader.milliseconds("timeout_ms", MaxTimeout.count()));
+  BOOST_LEAF_ASSIGN(request.Transaction,
+                    reader.text("transaction", 2 * MaxNameBytes));
+  BOOST_LEAF_CHECK(reader.sessions(request));
+  for (const auto *it :
+       {&request.Customer, &request.Database, &request.Class}) {
+    if (it->empty())
+      return RequestReader::wrong("customer, database and class", "given");
+  }
+  if (request.Group.empty() && request.RoutingKey.empty())
+    return RequestReader::wrong("group or routing_key", "given");
+  return {};
+}
+
+bool isCallersFault(ErrorType type) {
+  constexpr std::array Faults{
+      ErrorType::BadRequest,     ErrorType::RequestTooLarge,
+      ErrorType::UnknownClass,   ErrorType::UnknownDatabase,
+      ErrorType::InvalidSession, ErrorType::RequestIdExpired,
+      ErrorType::PositionLost,   ErrorType::TransactionLost};
+  return std::find(Faults.begin(), Faults.end(), type) != Faults.end();
+}
+
+} // namespace
+
+base::Result<CallerRequest>
+parseRequest(proto::ForwardRequest::Operation operation,
+             const std::string &body) {
+  if (body.size() > MaxRequestBytes)
+    return base::fail(ErrorType::RequestTooLarge,
+                      "the request is longer than 128 KiB");
+  json parsed = json::parse(body, nullptr, false);
+  if (!parsed.is_object())
+    return base::fail(ErrorType::BadRequest, "the body is not a JSON object");
+  CallerRequest request;
+  request.Operation = operation;
+  RequestReader reader(parsed);
+  BOOST_LEAF_CHECK(readCommon(reader, request));
+  if (operation == proto::ForwardRequest::EXECUTE)
+    BOOST_LEAF_CHECK(readExecute(reader, request));
+  BOOST_LEAF_CHECK(reader.finish());
+  bool ends = operation == proto::ForwardRequest::COMMIT ||
+              operation == proto::ForwardRequest::ROLLBACK;
+  if (ends && request.Transaction.empty())
+    return RequestReader::wrong("transaction", "given");
+  return request;
+}
+
+std::string printReply(const CallerReply &reply) {
+  json body{{"outcome", base::outcomeName(reply.Outcome)}};
+  if (reply.Error)
+    body["error"] = {{"type", base::errorName(reply.Error->Type)},
+                     {"message", reply.Error->Detail}};
+  if (reply.Outcome == base::Outcome::Answered) {
+    body["result"] = reply.Result;
+    body["replayed"] = reply.Replayed;
+    body["server"] = reply.Server;
+    body["role"] = reply.Role;
+    if (reply.AgeMs >= 0)
+      body["age_ms"] = reply.AgeMs;
+  }
+  if (!reply.Session.empty())
+    body["session"] = reply.Session;
+  if (!reply.RequestId.empty())
+    body["request_id"] = reply.RequestId;
+  if (!reply.Transaction.empty())
+    body["transaction"] = reply.Transaction;
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+int httpStatus(const CallerReply &reply) {
+  switch (reply.Outcome) {
+  case base::Outcome::Answered:
+  case base::Outcome::Failed:
+    return 200;
+  case base::Outcome::Unknown:
+    return 504;
+  case base::Outcome::NotRun:
+    break;
+  }
+  if (reply.Error && reply.Error->Type == ErrorType::RequestTooLarge)
+    return 413;
+  return reply.Error && isCallersFault(reply.Error->Type) ? 400 : 503;
+}
+
+} // namespace baobabpin::gateway
--- a/baobabpin/http/HttpServer.cpp
+++ b/baobabpin/http/HttpServer.cpp
@@ -36,6 +36,7 @@
   std::map<std::string, RequestHandler> Handlers;
   std::map<evhttp_connection *, std::shared_ptr<Connection>> Connections;
   std::uint64_t NextNumber = 1;
+  bool Closing = false;
   std::function<void(std::uint64_t)> Opened;
   std::function<void(std::uint64_t)> Closed;
 
@@ -56,10 +57,13 @@
 
   void respond(int status, const std::string &contentType,
                const std::string &body) override {
+    auto connection = Target.lock();
     evhttp_request *request = take();
     if (!request)
       return;
     auto *headers = evhttp_request_get_output_headers(request);
+    if (connection->Owner->Closing)
+      evhttp_add_header(headers, "Connection", "close");
     evhttp_add_header(headers, "Content-Type", contentType.c_str());
     evbuffer *buf = evhttp_request_get_output_buffer(request);
     evbuffer_add(buf, body.data(), body.size());
@@ -187,6 +191,8 @@
     evhttp_del_accept_socket(Impl->Server, socket);
 }
 
+void HttpServer::closeAfterReplies() { Impl->Closing = true; }
+
 std::size_t HttpServer::connectionCount() const {
   return Impl->Connections.size();
 }
--- a/baobabpin/http/HttpServer.h
+++ b/baobabpin/http/HttpServer.h
@@ -64,6 +64,9 @@
   base::Result<Endpoint> listen(const Endpoint &endpoint);
   /// Stops accepting connections; those that are open go on.
   void stopListening();
+  /// From now on every answer asks its client to close the connection, so that
+  /// clients move to another server between two requests.
+  void closeAfterReplies();
   std::size_t connectionCount() const;
 
 private:
--- /dev/null
+++ b/baobabpin/node/Main.cpp
@@ -0,0 +1,86 @@
+/// The proxy node.
+
+#include "baobabpin/node/NodeAssembly.h"
+
+#include <cxxopts.hpp>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+constexpr const char *Version = "0.1.0";
+constexpr int ExitFailed = 1;
+constexpr int ExitUsage = 2;
+
+int runNode(const baobabpin::node::NodeSettings &settings) {
+  baobabpin::kernel::Kernel kernel(settings.Node);
+  baobabpin::node::addServices(kernel, settings);
+  bool started = baobabpin::base::handleFailure(
+      [&]() -> baobabpin::base::Result<bool> {
+        BOOST_LEAF_CHECK(kernel.startAll());
+        return true;
+      },
+      [&](const baobabpin::base::Failure &failure) {
+        std::cerr << "baobabpin: " << baobabpin::base::errorName(failure.Type)
+                  << ": " << failure.Detail << '\n';
+        return false;
+      });
+  if (!started)
+    return ExitFailed;
+  kernel.log().record("node_ready", {{"zone", settings.Zone}});
+  kernel.loop().run();
+  kernel.log().record("node_stopping");
+  kernel.stopAll();
+  return 0;
+}
+
+int run(int argc, char **argv) {
+  cxxopts::Options options("baobabpin",
+                           "Database proxy node with session consistency.");
+  options.add_options()("settings", "settings file (JSON)",
+                        cxxopts::value<std::string>())(
+      "check", "check the settings and exit")("version", "print the version")(
+      "help", "print this help");
+  auto parsed = options.parse(argc, argv);
+  if (parsed.count("help")) {
+    std::cout << options.help();
+    return 0;
+  }
+  if (parsed.count("version")) {
+    std::cout << "baobabpin " << Version << '\n';
+    return 0;
+  }
+  if (!parsed.count("settings")) {
+    std::cerr << "baobabpin: --settings FILE is needed; see --help\n";
+    return ExitUsage;
+  }
+  auto path = parsed["settings"].as<std::string>();
+  return baobabpin::base::handleFailure(
+      [&]() -> baobabpin::base::Result<int> {
+        BOOST_LEAF_AUTO(settings, baobabpin::node::readSettings(path));
+        if (parsed.count("check"))
+          return 0;
+        return runNode(settings);
+      },
+      [&](const baobabpin::base::Failure &failure) {
+        std::cerr << "baobabpin: " << path << ": " << failure.Detail << '\n';
+        return ExitUsage;
+      });
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  // A peer that closed its connection is reported by the write's result.
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return run(argc, argv);
+  } catch (const cxxopts::exceptions::exception &ec) {
+    std::cerr << "baobabpin: " << ec.what() << '\n';
+    return ExitUsage;
+  }
+}
--- a/baobabpin/owner/GroupRunner.cpp
+++ b/baobabpin/owner/GroupRunner.cpp
@@ -117,9 +117,8 @@
 void GroupRunner::enqueuePending(const PendingPtr &pending) {
   admission::QueuedRequest request;
   request.Id = pending->Id;
-  request.Level = static_cast<admission::Priority>(
-      std::min<std::uint32_t>(pending->Request.priority(),
-                              admission::PriorityCount - 1));
+  request.Level = static_cast<admission::Priority>(std::min<std::uint32_t>(
+      pending->Request.priority(), admission::PriorityCount - 1));
   request.Target = needsPrimary(*pending) || Settings.Baseline
                        ? admission::Lane::Primary
                        : admission::Lane::Replica;
@@ -153,10 +152,11 @@
       auto block = replication::writeBlock(State, now);
       if (block == replication::WriteBlock::TermNotConfirmed)
         perform(replication::requestStatusRound(State, now));
-      open.Primary = primary && !block && Links.at(primary->Primary)->hasFreeSlot();
-      open.Replica = std::any_of(Links.begin(), Links.end(), [](const auto &it) {
-        return it.second->hasFreeSlot();
-      });
+      open.Primary =
+          primary && !block && Links.at(primary->Primary)->hasFreeSlot();
+      open.Replica =
+          std::any_of(Links.begin(), Links.end(),
+                      [](const auto &it) { return it.second->hasFreeSlot(); });
       auto next = admission::dequeue(Queue, open);
       if (!next)
         break;
@@ -303,11 +303,10 @@
 std::string GroupRunner::describe() const {
   auto now = Loop.now();
   auto primary = replication::currentPrimary(State);
-  nlohmann::json description{
-      {"primary", primary ? primary->Primary : ""},
-      {"term", primary ? primary->Term : 0},
-      {"owner", Settings.Self},
-      {"queued", Queue.Size + Parked.size()}};
+  nlohmann::json description{{"primary", primary ? primary->Primary : ""},
+                             {"term", primary ? primary->Term : 0},
+                             {"owner", Settings.Self},
+                             {"queued", Queue.Size + Parked.size()}};
   for (const auto &it : State.Servers) {
     nlohmann::json server{
         {"id", it.Config.Id},
--- a/baobabpin/owner/GroupRunner.h
+++ b/baobabpin/owner/GroupRunner.h
@@ -14,6 +14,7 @@
 #include "baobabpin/kernel/Kernel.h"
 #include "baobabpin/owner/PendingRequest.h"
 #include "baobabpin/owner/ServerLink.h"
+#include "baobabpin/replication/Freshness.h"
 #include "baobabpin/replication/Group.h"
 #include "baobabpin/resources/Kinds.h"
 #include "baobabpin/routing/ReplicaChooser.h"
--- a/baobabpin/owner/OwnerService.cpp
+++ b/baobabpin/owner/OwnerService.cpp
@@ -90,7 +90,8 @@
 void OwnerService::State::updateOwnership(const base::GroupName &group,
                                           GroupRunner &runner) {
   bool owner = !Draining && Fleet->isOwner(group);
-  bool forwarded = Kernel->loop().now() - runner.lastWork() < ForwardedOwnership;
+  bool forwarded =
+      Kernel->loop().now() - runner.lastWork() < ForwardedOwnership;
   runner.setActive(owner || forwarded);
   runner.setLastResort(owner && Fleet->ownersOf(group).AllUnfit);
 }
@@ -166,8 +167,7 @@
     Impl->Kernel->loop().post([this] { Impl->updateRunners(); });
   });
   Impl->updateRunners();
-  Impl->Ticker =
-      kernel.loop().runEvery(TickPeriod, [this] { Impl->tick(); });
+  Impl->Ticker = kernel.loop().runEvery(TickPeriod, [this] { Impl->tick(); });
   return {};
 }
 
@@ -178,9 +178,8 @@
 
 void OwnerService::submit(const proto::ForwardRequest &request,
                           ReplyCallback reply) {
-  bool inTransaction =
-      !request.transaction().empty() &&
-      request.operation() != proto::ForwardRequest::BEGIN;
+  bool inTransaction = !request.transaction().empty() &&
+                       request.operation() != proto::ForwardRequest::BEGIN;
   if (Impl->Draining && !inTransaction) {
     reply(refusal(ErrorType::Draining, "the node is shutting down"));
     return;
--- a/baobabpin/owner/ReadPath.cpp
+++ b/baobabpin/owner/ReadPath.cpp
@@ -119,8 +119,8 @@
   auto now = Loop.now();
   switch (answer.Outcome) {
   case CallOutcome::Ok:
-    perform(replication::onData(State, {server, 0, answer.Position}, sentAt,
-                                now, Rng));
+    perform(replication::onData(State, {server, 0, answer.Position, true},
+                                sentAt, now, Rng));
     pending->AnsweredBy = server;
     pending->AnswerTerm = 0;
     if (!replication::isYoungEnough(State, requirementOf(pending),
@@ -146,8 +146,8 @@
       park(pending, CatchUpWait);
       return;
     }
-    perform(replication::onStatementRefused(State, server, answer.Term, now,
-                                            Rng));
+    perform(
+        replication::onStatementRefused(State, server, answer.Term, now, Rng));
     pending->NeedsPrimary = true;
     enqueuePending(pending);
     return;
--- a/baobabpin/owner/ReplicationDriver.cpp
+++ b/baobabpin/owner/ReplicationDriver.cpp
@@ -73,9 +73,9 @@
                [this, server = action.Server](const Answer &answer,
                                               base::TimePoint sentAt) {
                  if (answer.Outcome == CallOutcome::Ok)
-                   perform(replication::onReport(
-                       State, toReport(server, answer), sentAt, Loop.now(),
-                       Rng));
+                   perform(replication::onReport(State,
+                                                 toReport(server, answer),
+                                                 sentAt, Loop.now(), Rng));
                  else
                    reportNoAnswer(server, RequestKind::Status, answer);
                  settle();
@@ -131,44 +131,44 @@
       address = it.Address;
   }
   Links.at(action.Server)
-      ->control(
-          upstream::FollowRequest{action.Term, action.Primary, address},
-          FollowTimeout,
-          [this, action](const Answer &answer, base::TimePoint) {
-            if (!hasAnswer(answer))
-              reportNoAnswer(action.Server, RequestKind::Follow, answer);
-          });
+      ->control(upstream::FollowRequest{action.Term, action.Primary, address},
+                FollowTimeout,
+                [this, action](const Answer &answer, base::TimePoint) {
+                  if (!hasAnswer(answer))
+                    reportNoAnswer(action.Server, RequestKind::Follow, answer);
+                });
 }
 
 void GroupRunner::performOne(const replication::DeclareUnfit &action) {
-  record("owner_unfit", {{"reason", std::string(replication::unfitReasonName(
-                                        action.Reason))}});
+  record(
+      "owner_unfit",
+      {{"reason", std::string(replication::unfitReasonName(action.Reason))}});
   Settings.DeclareUnfit(action.Until - Loop.now());
 }
 
 void GroupRunner::performOne(const replication::PromotionStarted &action) {
   record("promotion_started",
          {{"term", std::to_string(action.Term)},
-          {"reason", std::string(
-                         replication::promotionReasonName(action.Reason))}});
+          {"reason",
+           std::string(replication::promotionReasonName(action.Reason))}});
 }
 
 void GroupRunner::performOne(const replication::PromotionFinished &action) {
   Counters.Promotions->Increment();
-  record("promotion_finished", {{"term", std::to_string(action.Term)},
-                                {"primary", action.Primary}});
+  record("promotion_finished",
+         {{"term", std::to_string(action.Term)}, {"primary", action.Primary}});
 }
 
 void GroupRunner::performOne(const replication::PromotionFailed &action) {
   record("promotion_failed",
          {{"term", std::to_string(action.Term)},
-          {"reason", std::string(
-                         replication::promotionFailureName(action.Failure))}});
+          {"reason",
+           std::string(replication::promotionFailureName(action.Failure))}});
 }
 
 void GroupRunner::performOne(const replication::PrimaryChanged &action) {
-  record("primary_changed", {{"term", std::to_string(action.Term)},
-                             {"primary", action.Primary}});
+  record("primary_changed",
+         {{"term", std::to_string(action.Term)}, {"primary", action.Primary}});
   base::ServerId former = std::exchange(LastPrimary, action.Primary);
   if (former.empty() || former == action.Primary)
     return;
@@ -183,15 +183,14 @@
 }
 
 void GroupRunner::performOne(const replication::PrimarySuspected &action) {
-  auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-      action.Silence);
+  auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(action.Silence);
   record("primary_suspected", {{"primary", action.Primary},
                                {"silence_ms", std::to_string(ms.count())}});
 }
 
 void GroupRunner::performOne(const replication::OwnPauseDetected &action) {
-  auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(action.Gap);
+  auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(action.Gap);
   record("own_pause_detected", {{"gap_ms", std::to_string(ms.count())}});
 }
 
@@ -213,8 +212,8 @@
 
 void GroupRunner::handOverStoppedPrimary(base::TimePoint now) {
   auto primary = replication::currentPrimary(State);
-  bool wanted = HandoverRequested ||
-                (primary && Stopped.contains(primary->Primary));
+  bool wanted =
+      HandoverRequested || (primary && Stopped.contains(primary->Primary));
   if (!wanted || now - LastHandoverAttempt < HandoverRetryPause)
     return;
   LastHandoverAttempt = now;
--- a/baobabpin/owner/ServerLink.h
+++ b/baobabpin/owner/ServerLink.h
@@ -3,7 +3,8 @@
 ///
 /// \code
 ///   if (link.hasFreeSlot())
-///     link.call(request, timeout, [](Answer answer, TimePoint sentAt) { ... });
+///     link.call(request, timeout, [](Answer answer, TimePoint sentAt) { ...
+///     });
 /// \endcode
 #pragma once
 
@@ -86,11 +87,11 @@
                LinkCallback callback) {
     Control.disconnect();
     auto sentAt = base::Clock::now();
-    Control.call(request, timeout,
-                 [callback = std::move(callback),
-                  sentAt](upstream::Answer answer) {
-                   callback(std::move(answer), sentAt);
-                 });
+    Control.call(
+        request, timeout,
+        [callback = std::move(callback), sentAt](upstream::Answer answer) {
+          callback(std::move(answer), sentAt);
+        });
   }
 
 private:
--- a/baobabpin/owner/TransactionPath.cpp
+++ b/baobabpin/owner/TransactionPath.cpp
@@ -23,8 +23,7 @@
 
 void GroupRunner::submitInTransaction(const PendingPtr &pending) {
   auto it = Transactions.find(pending->Request.transaction());
-  bool isCommit =
-      pending->Request.operation() == proto::ForwardRequest::COMMIT;
+  bool isCommit = pending->Request.operation() == proto::ForwardRequest::COMMIT;
   if (it == Transactions.end()) {
     if (isCommit && pending->Request.repeat()) {
       enqueuePending(pending);
@@ -101,28 +100,28 @@
   call.Statement = pending->Request.statement();
   call.Transaction = transaction.ServerTransaction;
   Links.at(transaction.Server)
-      ->callIn(*transaction.Slot, call, pending->Deadline - Loop.now(),
-               [this, pending, id = transaction.Id](Answer answer,
-                                                    base::TimePoint) {
-                 auto &it = Transactions.at(id);
-                 it.Busy = false;
-                 it.LastUsed = Loop.now();
-                 switch (answer.Outcome) {
-                 case CallOutcome::Ok:
-                 case CallOutcome::Failed:
-                   pending->AnsweredBy = it.Server;
-                   pending->AnswerTerm = it.Term;
-                   pending->Answer = std::move(answer);
-                   // Nothing is durable before the commit's proof.
-                   this->answer(pending);
-                   return;
-                 default:
-                   closeTransaction(id, true);
-                   refuse(pending, ErrorType::TransactionLost,
-                          "the transaction was rolled back");
-                   pump();
-                 }
-               });
+      ->callIn(
+          *transaction.Slot, call, pending->Deadline - Loop.now(),
+          [this, pending, id = transaction.Id](Answer answer, base::TimePoint) {
+            auto &it = Transactions.at(id);
+            it.Busy = false;
+            it.LastUsed = Loop.now();
+            switch (answer.Outcome) {
+            case CallOutcome::Ok:
+            case CallOutcome::Failed:
+              pending->AnsweredBy = it.Server;
+              pending->AnswerTerm = it.Term;
+              pending->Answer = std::move(answer);
+              // Nothing is durable before the commit's proof.
+              this->answer(pending);
+              return;
+            default:
+              closeTransaction(id, true);
+              refuse(pending, ErrorType::TransactionLost,
+                     "the transaction was rolled back");
+              pump();
+            }
+          });
 }
 
 void GroupRunner::endTransaction(const PendingPtr &pending,
@@ -133,27 +132,28 @@
   call.Transaction = transaction.ServerTransaction;
   call.Request = pending->Request.request_id();
   Links.at(transaction.Server)
-      ->callIn(
-          *transaction.Slot, call, pending->Deadline - Loop.now(),
-          [this, pending, id = transaction.Id](Answer answer,
-                                               base::TimePoint sentAt) {
-            Transaction it = Transactions.at(id);
-            bool settled = answer.Outcome == CallOutcome::Ok ||
-                           answer.Outcome == CallOutcome::Failed;
-            closeTransaction(id, !settled);
-            if (settled) {
-              onPrimaryAnswer(pending, it.Server, it.Term, std::move(answer),
-                              sentAt);
-            } else if (answer.Outcome == CallOutcome::Lost && isWrite(*pending)) {
-              reportNoAnswer(it.Server, replication::RequestKind::Data, answer);
-              finishUnknown(pending, ErrorType::TransactionLost);
-            } else {
-              refuse(pending, ErrorType::TransactionLost,
-                     "the transaction was rolled back");
-            }
-            reportWritesInFlight();
-            pump();
-          });
+      ->callIn(*transaction.Slot, call, pending->Deadline - Loop.now(),
+               [this, pending, id = transaction.Id](Answer answer,
+                                                    base::TimePoint sentAt) {
+                 Transaction it = Transactions.at(id);
+                 bool settled = answer.Outcome == CallOutcome::Ok ||
+                                answer.Outcome == CallOutcome::Failed;
+                 closeTransaction(id, !settled);
+                 if (settled) {
+                   onPrimaryAnswer(pending, it.Server, it.Term,
+                                   std::move(answer), sentAt);
+                 } else if (answer.Outcome == CallOutcome::Lost &&
+                            isWrite(*pending)) {
+                   reportNoAnswer(it.Server, replication::RequestKind::Data,
+                                  answer);
+                   finishUnknown(pending, ErrorType::TransactionLost);
+                 } else {
+                   refuse(pending, ErrorType::TransactionLost,
+                          "the transaction was rolled back");
+                 }
+                 reportWritesInFlight();
+                 pump();
+               });
 }
 
 void GroupRunner::closeTransaction(const std::string &id, bool discard) {
--- a/baobabpin/owner/WritePath.cpp
+++ b/baobabpin/owner/WritePath.cpp
@@ -58,8 +58,9 @@
   case CallOutcome::Ok:
   case CallOutcome::Failed:
     if (answer.Outcome == CallOutcome::Ok)
-      perform(replication::onData(State, {server, term, answer.Position},
-                                  sentAt, now, Rng));
+      perform(replication::onData(
+          State, {server, term, answer.Position, !answer.Replayed}, sentAt, now,
+          Rng));
     pending->AnsweredBy = server;
     pending->AnswerTerm = term;
     pending->ProofSince = now;
@@ -170,7 +171,7 @@
   auto primary = replication::currentPrimary(State);
   bool superseded = primary && primary->Term > pending->AnswerTerm;
   bool lost = pending->Proof == ProofKind::Position
-                  ? replication::isLost(State, position)
+                  ? replication::isPositionLost(State, position)
                   : superseded;
   if (!lost)
     return false;
