--- a/baobabpin/gateway/GatewayService.cpp
+++ b/baobabpin/gateway/GatewayService.cpp
@@ -258,28 +258,31 @@
   state.Server.emplace(kernel.loop());
   state.Server->setMaxBody(HardBodyLimit);
   auto serve = [&](const char *path, ForwardRequest::Operation operation) {
-    state.Server->handle(path, [&state, operation](http::HttpRequest request,
-                                                   http::ResponderPtr it) {
-      state.handle(operation, std::move(request), it);
-    });
+    state.Server->handle(path,
+                         [&state, operation](http::HttpRequest request,
+                                             const http::ResponderPtr &it) {
+                           state.handle(operation, std::move(request), it);
+                         });
   };
   serve("/v1/statement", ForwardRequest::EXECUTE);
   serve("/v1/transaction/begin", ForwardRequest::BEGIN);
   serve("/v1/transaction/commit", ForwardRequest::COMMIT);
   serve("/v1/transaction/rollback", ForwardRequest::ROLLBACK);
   state.Server->handle(
-      "/healthz", [&state](http::HttpRequest, http::ResponderPtr responder) {
+      "/healthz",
+      [&state](const http::HttpRequest &, const http::ResponderPtr &responder) {
         bool ready =
             !state.Draining && state.Fleet->catalog().highestRevision() > 0;
         responder->json(ready ? HealthyStatus : DrainingStatus,
                         ready ? R"({"status":"ok"})"
                               : R"({"status":"unavailable"})");
       });
-  state.Server->handle(
-      "/metrics", [&kernel](http::HttpRequest, http::ResponderPtr responder) {
-        responder->respond(200, "text/plain; version=0.0.4",
-                           kernel.metrics().render());
-      });
+  state.Server->handle("/metrics",
+                       [&kernel](const http::HttpRequest &,
+                                 const http::ResponderPtr &responder) {
+                         responder->respond(200, "text/plain; version=0.0.4",
+                                            kernel.metrics().render());
+                       });
   BOOST_LEAF_ASSIGN(state.Settings.Listen,
                     state.Server->listen(state.Settings.Listen));
   return {};
--- a/baobabpin/owner/TransactionPath.cpp
+++ b/baobabpin/owner/TransactionPath.cpp
@@ -65,7 +65,7 @@
   link.callIn(
       *transaction.Slot, upstream::BeginRequest{primary->Term},
       pending->Deadline - Loop.now(),
-      [this, pending, id](Answer answer, base::TimePoint) {
+      [this, pending, id](const Answer &answer, base::TimePoint) {
         auto &it = Transactions.at(id);
         it.Busy = false;
         if (answer.Outcome == CallOutcome::Ok) {
