Add the distribution of the configuration

Every node needs the newest configuration, also while the store is down. Two watchers per zone follow the store; every node pushes a notice to 4 random members when its copy advances and pulls differences from members whose digest is ahead. A copy states the revision up to which it is complete and since when it knows all deletions, so that a node that missed a deletion cannot bring the key back. A compare-and-swap whose answer was lost is resolved by reading the value with the writer's mark back.

--- a/baobabpin/configsync/ConfigCopy.h
+++ b/baobabpin/configsync/ConfigCopy.h
@@ -32,6 +32,8 @@
   /// Every deletion after this revision has its tombstone here. A node that
   /// read a snapshot does not know what was deleted before it.
   std::uint64_t DeletionsKnownAfter = 0;
+  /// Counts applied records, to notice changes while a pull is under way.
+  std::uint64_t Changes = 0;
 };
 
 /// Records that changed the copy, in order of application.
@@ -52,33 +54,37 @@
                              const std::vector<ConfigRecord> &records,
                              std::uint64_t revision);
 
-/// Equal on copies that hold the same records up to their complete revision.
+/// Equal on copies whose existing records up to the complete revision are the
+/// same.
 std::uint64_t digestHash(const ConfigCopy &copy);
 
 /// What a node does about a peer's digest.
-enum class PullKind { None, Difference, Full };
+enum class PullKind {
+  None,
+  Difference, ///< The peer is ahead.
+  Full,       ///< Same revision, other records: one missed a deletion.
+};
 PullKind choosePull(const ConfigCopy &copy, std::uint64_t ownHash,
                     std::uint64_t peerRevision, std::uint64_t peerHash);
 
-/// Replies beyond this are split; below gRPC's limit of 4 MB a message, and a
-/// single value has at most 1 MB.
+/// Replies beyond this are split; gRPC's limit is 4 MB a message, and a single
+/// value has at most 1 MB.
 inline constexpr std::size_t MaxSyncReplyBytes = 2 << 20;
 
-proto::SyncRequest makeSyncRequest(const ConfigCopy &copy, bool full);
+/// A pull under way.
+struct Pull {
+  proto::SyncRequest Request;
+  /// ConfigCopy::Changes when the request was made.
+  std::uint64_t Changes = 0;
+};
+
+Pull makePull(const ConfigCopy &copy, PullKind kind);
 proto::SyncReply answerSync(const ConfigCopy &copy,
                             const proto::SyncRequest &request,
                             std::size_t maxBytes = MaxSyncReplyBytes);
-
-/// Outcome of a pull.
-struct SyncResult {
-  AppliedRecords Applied;
-  /// The pull must be repeated, with a full request.
-  bool FullNeeded = false;
-  /// The reply was a part; the pull must be repeated as it was.
-  bool Partial = false;
-};
-/// Merges a reply to \p request, which must have been made from this copy.
-SyncResult mergeSync(ConfigCopy &copy, const proto::SyncRequest &request,
-                     const proto::SyncReply &reply);
+/// Merges a reply. When it has full_needed set, the asker repeats with
+/// PullKind::Full.
+AppliedRecords mergeSync(ConfigCopy &copy, const Pull &pull,
+                         const proto::SyncReply &reply);
 
 } // namespace baobabpin::configsync
--- a/baobabpin/configsync/ConfigSyncService.h
+++ b/baobabpin/configsync/ConfigSyncService.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "baobabpin/configsync/ConfigCopy.h"
+#include "baobabpin/configsync/StoreWrite.h"
 #include "baobabpin/http/HttpClient.h"
 #include "baobabpin/kernel/Kernel.h"
 #include "baobabpin/platform/StoreClient.h"
@@ -28,21 +29,9 @@
   http::Endpoint Store;
   platform::StoreTimeouts StoreTimeouts = {};
   std::chrono::milliseconds HostListPeriod{2000};
-};
-
-enum class WriteStatus {
-  Committed,
-  Conflict,    ///< Another writer was first; Revision holds the current one.
-  Unavailable, ///< Not committed: the store was not reached.
-  Unknown,     ///< The store went away before its answer could be read back.
-};
-
-struct WriteResult {
-  WriteStatus Status = WriteStatus::Unavailable;
-  /// Of the committed change, or the current one for a conflict.
-  std::uint64_t Revision = 0;
-  /// The current value for a conflict; empty if the key does not exist.
-  std::optional<std::string> Current;
+  /// A starting node does not watch the store before this time: until it knows
+  /// its zone's members, every node ranks itself first.
+  std::chrono::milliseconds SettleTime{1000};
 };
 
 using WriteCallback = std::function<void(WriteResult)>;
@@ -71,7 +60,8 @@
   std::uint64_t appliedRevision() const;
 
   /// Commits \p value if the key's revision is \p expectedRevision (0: must not
-  /// exist). A lost answer is resolved by reading back the writer's mark.
+  /// exist). The value must contain the writer's mark, an ID drawn anew for
+  /// each write: a lost answer is resolved by reading the value back.
   void compareAndSwap(const std::string &key, const std::string &value,
                       std::uint64_t expectedRevision, WriteCallback callback);
   void compareAndDelete(const std::string &key, std::uint64_t expectedRevision,
