--- a/baobabpin/resources/Validation.cpp
+++ b/baobabpin/resources/Validation.cpp
@@ -191,6 +191,7 @@
   std::uint64_t revision = present.highestRevision();
   std::set<ResourceId> seen;
   for (auto &[id, spec] : changes) {
+    auto context = base::leaf::on_error([&id = id] { return id; });
     if (!seen.insert(id).second)
       return failField({"name", formatResourceId(id) + " is given twice",
                         "each resource once"});
--- a/baobabpin/resources/Validation.h
+++ b/baobabpin/resources/Validation.h
@@ -26,7 +26,7 @@
                                   const std::optional<Spec> &spec);
 
 /// Checks \p changes one after the other, each on top of those before it, in
-/// the order of the kinds.
+/// the order of the kinds. A failure also carries the refused ResourceId.
 base::Result<void>
 validateAll(ResourceCatalog present,
             std::vector<std::pair<ResourceId, Spec>> changes);
