--- a/baobabpin/operators/ResourceService.cpp
+++ b/baobabpin/operators/ResourceService.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <chrono>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 namespace baobabpin::operators {
@@ -98,6 +99,8 @@
   kernel::EventLog *Log = nullptr;
   std::shared_ptr<ServerState> Calls;
   std::unique_ptr<grpc::Server> Server;
+  /// Open watches; each is removed when its client leaves.
+  std::set<std::shared_ptr<ResourceWatch>> Watches;
   int Port = 0;
 };
 
@@ -300,8 +303,11 @@
         if (auto open = weak.lock())
           open->send(makeWatchEvent(update));
       });
-  // The call owns the watch until the client leaves.
-  call->onDone([watch] {});
+  Watches.insert(watch);
+  call->onDone([this, calls = Calls, watch = std::weak_ptr(watch)] {
+    if (!calls->Stopped)
+      Watches.erase(watch.lock());
+  });
   watch->start();
 }
 
@@ -363,6 +369,7 @@
   if (!Impl->Calls)
     return;
   Impl->Calls->Stopped = true;
+  Impl->Watches.clear();
   // Open watches never end on their own; a deadline in the past cancels them.
   Impl->Server->Shutdown(std::chrono::system_clock::now());
   Impl->Calls->Pump.reset();
--- a/baobabpin/operators/ServerCalls.cpp
+++ b/baobabpin/operators/ServerCalls.cpp
@@ -25,7 +25,7 @@
     : State(std::move(state)), Writer(&Context) {}
 
 void WatchCall::accept(const std::shared_ptr<ServerState> &state,
-                       Handler handler) {
+                       const Handler &handler) {
   auto call = std::make_shared<WatchCall>(state);
   void *done = state->Pump->tag([call](bool) { call->end(); });
   call->Context.AsyncNotifyWhenDone(done);
--- a/baobabpin/operators/ServerCalls.h
+++ b/baobabpin/operators/ServerCalls.h
@@ -88,7 +88,7 @@
   explicit WatchCall(std::shared_ptr<ServerState> state);
 
   static void accept(const std::shared_ptr<ServerState> &state,
-                     Handler handler);
+                     const Handler &handler);
 
   /// Queues an event. A client that lets more than MaxQueued events pile up is
   /// cut off with RESOURCE_EXHAUSTED and starts a new watch.
