Check acknowledged writes against the term that confirmed them

A write of term 1 may be cut off by term 2 and be part of term 3, when term 3 was promoted from a log that has it and term 2 was never confirmed. Its acknowledgement under term 3 is right. It now demands it of the confirming term, of every later one and always of the newest.

--- a/baobabpin/replication/Confirmation.cpp
+++ b/baobabpin/replication/Confirmation.cpp
@@ -77,7 +77,8 @@
   return std::nullopt;
 }
 
-bool isConfirmed(const GroupState &state, base::LogPosition position) {
+std::optional<base::TermNumber> confirmingTerm(const GroupState &state,
+                                               base::LogPosition position) {
   for (const auto &candidate : state.Servers) {
     if (!candidate.Report)
       continue;
@@ -92,9 +93,13 @@
         ++holders;
     }
     if (holders >= majorityOf(state.Config))
-      return true;
+      return term;
   }
-  return false;
+  return std::nullopt;
+}
+
+bool isConfirmed(const GroupState &state, base::LogPosition position) {
+  return confirmingTerm(state, position).has_value();
 }
 
 bool isReachable(const GroupState &state, const ServerKnowledge &server,
--- a/baobabpin/replication/Confirmation.h
+++ b/baobabpin/replication/Confirmation.h
@@ -39,6 +39,10 @@
 /// that survives for ever: the rule for its acknowledgement. A majority has
 /// reported a promise for one term, a last entry of that term, and a log that
 /// contains \p position.
+/// Returns the term that confirms it, which may be later than its own: a term
+/// that replaced the write may itself have been replaced by one that has it.
+std::optional<base::TermNumber> confirmingTerm(const GroupState &state,
+                                               base::LogPosition position);
 bool isConfirmed(const GroupState &state, base::LogPosition position);
 
 /// Whether the answer of a strict read of \p term may be returned: a majority
--- a/baobabpin/soak/Checker.cpp
+++ b/baobabpin/soak/Checker.cpp
@@ -21,8 +21,8 @@
           db.Log[position.Index - 1].Entry.Position == position);
 }
 
-bool holds(const PromotedTerm &promoted, LogPosition position) {
-  return base::checkPosition(promoted.Starts, promoted.Start, position) ==
+bool holds(const ReadTruth &log, LogPosition position) {
+  return base::checkPosition(log.Starts, log.Position, position) ==
          base::PositionCheck::Contained;
 }
 
@@ -115,7 +115,7 @@
   checker.Promoted[term] = {db.Server, db.TermStarts,
                             standins::upstream::lastPosition(db)};
   for (const auto &it : checker.Acked) {
-    if (it.Position.Term < term && !holds(db, it.Position))
+    if (it.ConfirmedBy < term && !holds(db, it.Position))
       throw Violation(Invariant::AcknowledgedWriteSurvives,
                       "primary " + db.Server + " of term " +
                           std::to_string(term) + " lacks " +
@@ -123,16 +123,22 @@
   }
 }
 
-std::size_t observeAck(Checker &checker, LogPosition position, unsigned session,
-                       TimePoint now) {
+std::size_t observeAck(Checker &checker, const AckedWrite &write) {
+  auto newest = checker.Promoted.empty() ? 0 : checker.Promoted.rbegin()->first;
+  // Whatever the node claims, the newest history must have the write.
+  auto from = std::min(write.ConfirmedBy, newest);
   for (const auto &[term, promoted] : checker.Promoted) {
-    if (term > position.Term && !holds(promoted, position))
+    bool contained =
+        base::checkPosition(promoted.Starts, promoted.Start, write.Position) ==
+        base::PositionCheck::Contained;
+    if (term >= from && term > write.Position.Term && !contained)
       throw Violation(Invariant::AcknowledgedWriteSurvives,
-                      "acknowledged " + formatPosition(position) +
+                      "acknowledged " + formatPosition(write.Position) +
+                          " by term " + std::to_string(write.ConfirmedBy) +
                           " although term " + std::to_string(term) +
                           " had replaced it");
   }
-  checker.Acked.push_back({position, now, session, std::nullopt});
+  checker.Acked.push_back(write);
   return checker.Acked.size() - 1;
 }
 
@@ -144,27 +150,26 @@
   checker.NotRun.insert(attempt);
 }
 
-ReadTruth truthOfRead(const Checker &checker, const Database &db,
-                      unsigned session, TimePoint invokedAt, TimePoint now) {
-  ReadTruth truth{.FreshAsOf = now,
-                  .Position = standins::upstream::lastPosition(db)};
-  for (const auto &it : checker.Acked) {
-    if (holds(db, it.Position))
-      continue;
-    truth.FreshAsOf = std::min(truth.FreshAsOf, it.At);
-    if (it.Session == session && it.ReceivedAt && *it.ReceivedAt <= invokedAt)
-      truth.HasOwnWrites = false;
-  }
-  return truth;
+ReadTruth truthOfRead(const Database &db) {
+  return {db.TermStarts, standins::upstream::lastPosition(db)};
 }
 
 void observeRead(Checker &checker, const AnsweredRead &read, TimePoint now) {
   ++checker.Reads;
-  auto age = now - read.Truth.FreshAsOf;
   auto position = formatPosition(read.Truth.Position);
-  if (read.HasSession && !read.Truth.HasOwnWrites)
-    throw Violation(Invariant::ReadYourWrites,
-                    "read at " + position + " misses the session's write");
+  // The data is as old as the first acknowledgement that it misses.
+  auto freshAsOf = now;
+  for (const auto &it : checker.Acked) {
+    if (holds(read.Truth, it.Position))
+      continue;
+    freshAsOf = std::min(freshAsOf, it.At);
+    bool known = it.ReceivedAt && *it.ReceivedAt <= read.InvokedAt;
+    if (read.HasSession && it.Session == read.Session && known)
+      throw Violation(Invariant::ReadYourWrites,
+                      "read at " + position + " misses the session's write " +
+                          formatPosition(it.Position));
+  }
+  auto age = now - freshAsOf;
   if (read.MaxAge && age > *read.MaxAge)
     throw Violation(Invariant::AgeIsTrue, "read at " + position + " is " +
                                               ageText(age) + " old, allowed " +
@@ -173,7 +178,7 @@
     throw Violation(Invariant::AgeIsTrue, "read at " + position + " is " +
                                               ageText(age) + " old, stated " +
                                               ageText(*read.StatedAge));
-  if (read.Strict && read.Truth.FreshAsOf < read.InvokedAt)
+  if (read.Strict && freshAsOf < read.ArrivedAt)
     throw Violation(Invariant::StrictReadIsCurrent,
                     "strict read at " + position +
                         " misses a write acknowledged before it began");
--- a/baobabpin/soak/Checker.h
+++ b/baobabpin/soak/Checker.h
@@ -46,6 +46,10 @@
   base::LogPosition Position;
   TimePoint At;
   unsigned Session = 0;
+  /// The term whose majority confirmed it. A term between the write's own and
+  /// this one may lack the write, when that term's entries were never confirmed
+  /// and a later promotion chose a log that has the write.
+  base::TermNumber ConfirmedBy = 0;
   /// When the caller got the answer; only then its session must see the write.
   std::optional<TimePoint> ReceivedAt;
 };
@@ -64,13 +68,9 @@
   base::LogPosition Start;
 };
 
-/// What was true of the log when a server ran a read.
+/// The log that a server had when it ran a read.
 struct ReadTruth {
-  /// Every write acknowledged before this time is in the log.
-  TimePoint FreshAsOf;
-  /// Writes that the caller knew as acknowledged when it began the read are in
-  /// the log.
-  bool HasOwnWrites = true;
+  std::vector<base::TermStart> Starts;
   base::LogPosition Position;
 };
 
@@ -90,16 +90,17 @@
 void observePromotion(Checker &checker, const Database &db,
                       base::TermNumber term);
 /// Returns the index in Checker::Acked.
-std::size_t observeAck(Checker &checker, base::LogPosition position,
-                       unsigned session, TimePoint now);
+std::size_t observeAck(Checker &checker, const AckedWrite &write);
 void observeNotRun(Checker &checker, AttemptId attempt);
 
-ReadTruth truthOfRead(const Checker &checker, const Database &db,
-                      unsigned session, TimePoint invokedAt, TimePoint now);
+ReadTruth truthOfRead(const Database &db);
 
 struct AnsweredRead {
   ReadTruth Truth;
+  unsigned Session = 0;
+  /// When the caller sent it, and when it reached the node.
   TimePoint InvokedAt;
+  TimePoint ArrivedAt;
   std::optional<Duration> StatedAge;
   std::optional<Duration> MaxAge;
   bool Strict = false;
--- a/baobabpin/soak/OwnerNode.cpp
+++ b/baobabpin/soak/OwnerNode.cpp
@@ -201,6 +201,21 @@
   op.Answer(response);
 }
 
+/// What the node believed about each server when it acknowledged.
+void traceKnowledge(NodeContext &context, const OwnerNode &node) {
+  for (const auto &it : node.State.Servers) {
+    if (!it.Report)
+      continue;
+    trace(*context.Sim, [&] {
+      auto age = nodeTime(*context.Sim, node) - it.ReportSentAt;
+      return "  knows " + it.Config.Id +
+             " promised=" + std::to_string(it.Report->PromisedTerm) +
+             " position=" + base::formatPosition(it.Report->Position) +
+             " asked " + std::to_string(age / ms(1)) + "ms ago";
+    });
+  }
+}
+
 void finishWrite(NodeContext &context, const OwnerNode &node, Operation &op,
                  base::Outcome outcome,
                  std::optional<base::ErrorType> error = std::nullopt) {
@@ -212,12 +227,17 @@
       outcome = base::Outcome::Unknown;
   }
   if (outcome == base::Outcome::Answered) {
+    traceKnowledge(context, node);
     trace(*context.Sim, [&] {
       return node.State.Config.Self + " acknowledges " + op.Asked.RequestId +
              " at " + base::formatPosition(op.Position);
     });
-    ack = observeAck(*context.Check, op.Position, op.Asked.Session,
-                     context.Sim->Now);
+    auto term = replication::confirmingTerm(node.State, op.Position);
+    ack = observeAck(*context.Check,
+                     {.Position = op.Position,
+                      .At = context.Sim->Now,
+                      .Session = op.Asked.Session,
+                      .ConfirmedBy = term.value_or(op.Position.Term)});
   }
   finish(op, {outcome, error, op.Position, ack});
 }
@@ -233,7 +253,9 @@
   });
   observeRead(*context.Check,
               {.Truth = op.Truth,
-               .InvokedAt = op.ArrivedAt,
+               .Session = op.Asked.Session,
+               .InvokedAt = op.Asked.InvokedAt,
+               .ArrivedAt = op.ArrivedAt,
                .StatedAge = age,
                .MaxAge = op.Asked.Wanted.MaxAge,
                .Strict = op.Asked.Strict,
@@ -409,8 +431,7 @@
                      {.Term = target.Term,
                       .Text = "GET s" + std::to_string(op->Asked.Session),
                       .MinPosition = target.Guard});
-    auto truth = truthOfRead(*context.Check, server->Db, op->Asked.Session,
-                             op->Asked.InvokedAt, context.Sim->Now);
+    auto truth = truthOfRead(server->Db);
     reply([&context, &node, op, server, answer, truth, sentAt] {
       onReadAnswer(context, node, op, server->Db.Server, answer, truth, sentAt);
     });
