--- a/standins/upstream/Database.cpp
+++ b/standins/upstream/Database.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t MaxEvents = 100'000;
-
 /// The time in a request ID of the form "<unix ms>-<anything>".
 std::optional<std::chrono::milliseconds> requestTime(const RequestId &id) {
   auto dash = id.find('-');
@@ -129,8 +127,6 @@
 }
 
 void note(Database &db, DatabaseEvent event) {
-  if (db.Events.size() == MaxEvents)
-    db.Events.pop_front();
   db.Events.push_back(std::move(event));
 }
 
@@ -229,6 +225,7 @@
   if (options.Primary != options.Server)
     return db;
   db.CurrentRole = Role::Primary;
+  db.IsInitialPrimary = true;
   internal::appendOwn(db, now, {});
   return db;
 }
--- a/standins/upstream/Database.h
+++ b/standins/upstream/Database.h
@@ -16,7 +16,6 @@
 #include "standins/upstream/Statement.h"
 
 #include <chrono>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -127,6 +126,7 @@
   /// When the primary was last heard; on the primary itself unused.
   TimePoint PrimaryHeard;
   bool Leaving = false;
+  bool IsInitialPrimary = false;
   TimePoint Opened;
 
   /// Entry i has index i + 1.
@@ -137,7 +137,8 @@
   std::unordered_map<RequestId, LogIndex> Records;
   std::map<std::string, Transaction> Transactions;
   std::uint64_t NextTransaction = 1;
-  std::deque<DatabaseEvent> Events;
+  /// Kept whole: the checker needs every truncated entry.
+  std::vector<DatabaseEvent> Events;
   /// Added to a TimePoint since its epoch, gives the Unix time; ages of request
   /// IDs need it.
   std::chrono::milliseconds UnixOffset{0};
--- a/standins/upstream/Messages.cpp
+++ b/standins/upstream/Messages.cpp
@@ -205,11 +205,15 @@
       .count();
 }
 
-std::string formatHistory(const Database &db, LogIndex first,
-                          std::size_t limit) {
-  std::string lines;
+std::string formatHistory(const Database &db, const std::string &group,
+                          LogIndex first) {
+  json server{{"type", "server"},
+              {"group", group},
+              {"server", db.Server},
+              {"initial_primary", db.IsInitialPrimary}};
+  std::string lines = dumpJson(server) + "\n";
   std::size_t begin = std::max<LogIndex>(first, 1) - 1;
-  for (std::size_t i = begin; i < db.Log.size() && i - begin < limit; ++i) {
+  for (std::size_t i = begin; i < db.Log.size(); ++i) {
     json body = encodeEntry(db.Log[i].Entry);
     body["type"] = "entry";
     body["applied_us"] = microseconds(db.Log[i].Applied);
--- a/standins/upstream/Messages.h
+++ b/standins/upstream/Messages.h
@@ -38,8 +38,8 @@
 /// Microseconds of CLOCK_MONOTONIC, which all processes of a machine share.
 std::int64_t microseconds(TimePoint at);
 
-/// JSON lines of at most \p limit entries from \p first on, then all events.
-std::string formatHistory(const Database &db, LogIndex first,
-                          std::size_t limit);
+/// JSON lines: the server, its entries from \p first on, all its events.
+std::string formatHistory(const Database &db, const std::string &group,
+                          LogIndex first);
 
 } // namespace standins::upstream
--- a/standins/upstream/UpstreamServer.cpp
+++ b/standins/upstream/UpstreamServer.cpp
@@ -20,7 +20,6 @@
 /// left by then.
 constexpr auto RefusedLinger = 20ms;
 constexpr std::size_t PullLimit = 256;
-constexpr std::size_t HistoryLimit = 1'000'000;
 
 std::chrono::milliseconds unixOffset(TimePoint now) {
   using std::chrono::milliseconds;
@@ -107,7 +106,7 @@
     LogIndex first =
         body.is_object() ? body.value("from_index", LogIndex{1}) : LogIndex{1};
     responder->respond(200, "application/jsonl",
-                       formatHistory(Db, first, HistoryLimit));
+                       formatHistory(Db, Options.Group, first));
   });
   Http->handle("/admin/fault", [this](const HttpRequest &request,
                                       const ResponderPtr &responder) {
