--- a/baobabpin/configsync/ConfigSyncService.cpp
+++ b/baobabpin/configsync/ConfigSyncService.cpp
@@ -1,6 +1,7 @@
 #include "baobabpin/configsync/ConfigSyncService.h"
 
 #include "baobabpin/configsync/PeerClient.h"
+#include "baobabpin/configsync/StoreWriter.h"
 #include "baobabpin/configsync/Watchers.h"
 #include "baobabpin/membership/MembershipService.h"
 #include "baobabpin/platform/HostList.h"
@@ -18,7 +19,6 @@
 using base::TimePoint;
 using membership::ConfigDigest;
 using platform::StoreEntry;
-using platform::StoreReply;
 
 /// Random members that hear of a new revision at once; 4 reach 4,300 nodes in
 /// about 7 rounds.
@@ -36,7 +36,6 @@
 constexpr std::size_t MaxPulls = 2;
 /// Larger batches, as at a start, are logged as one event.
 constexpr std::size_t MaxLoggedRecords = 16;
-constexpr std::chrono::milliseconds ReadBackDelay{300};
 
 std::vector<ConfigRecord> toRecords(const std::vector<StoreEntry> &entries) {
   std::vector<ConfigRecord> records;
@@ -58,6 +57,7 @@
   kernel::Kernel *Kernel = nullptr;
   membership::MembershipService *Membership = nullptr;
   std::unique_ptr<platform::StoreClient> Store;
+  std::unique_ptr<StoreWriter> Writer;
   std::unique_ptr<platform::PrefixWatch> Watch;
   std::unique_ptr<platform::HostList> Hosts;
   std::unique_ptr<PeerClient> Peers;
@@ -76,8 +76,6 @@
   TimePoint NextReport;
   int ReportsLeft = 0;
 
-  std::map<std::uint64_t, kernel::Timer> ReadBackTimers;
-  std::uint64_t NextTimer = 1;
   prometheus::Counter *SyncBytes = nullptr;
   prometheus::Gauge *AppliedGauge = nullptr;
 
@@ -98,12 +96,7 @@
   void reportApplied();
   void scheduleReports();
 
-  using WritePtr = std::shared_ptr<StoreWrite>;
-  void startWrite(const WritePtr &write, const WriteCallback &callback);
-  void readBack(const WritePtr &write, const WriteCallback &callback);
-  void readBackLater(const WritePtr &write, const WriteCallback &callback);
-  void continueWrite(const WritePtr &write, const WriteDecision &decision,
-                     const WriteCallback &callback);
+  void write(StoreWrite write, const WriteCallback &callback);
   void onWritten(const StoreWrite &write, const WriteResult &result);
 };
 
@@ -119,6 +112,7 @@
   std::random_device random;
   Store = std::make_unique<platform::StoreClient>(
       loop, Kernel->metrics(), Settings.Store, Settings.StoreTimeouts);
+  Writer = std::make_unique<StoreWriter>(loop, *Store);
   platform::WatchHandlers handlers;
   handlers.OnSnapshot = [this](const auto &entries, std::uint64_t revision) {
     std::uint64_t before = Copy.CompleteRevision;
@@ -284,57 +278,16 @@
   ReportsLeft = std::max(0, ReportsLeft - 1);
 }
 
-void ConfigSyncService::State::startWrite(const WritePtr &write,
-                                          const WriteCallback &callback) {
-  auto answered = [this, write, callback](const StoreReply &reply) {
-    continueWrite(write, afterWrite(*write, reply), callback);
-  };
-  if (write->Value)
-    Store->put(write->Key, *write->Value, write->ExpectedRevision, {},
-               answered);
-  else
-    Store->erase(write->Key, write->ExpectedRevision, answered);
-}
-
-void ConfigSyncService::State::readBack(const WritePtr &write,
-                                        const WriteCallback &callback) {
-  // A range states the store's revision even when the key does not exist.
-  Store->range(write->Key, [this, write, callback](const StoreReply &reply) {
-    continueWrite(write, afterReadBack(*write, reply), callback);
+void ConfigSyncService::State::write(StoreWrite write,
+                                     const WriteCallback &callback) {
+  Writer->submit(std::move(write), [this, callback](const StoreWrite &it,
+                                                    const WriteResult &result) {
+    if (result.Status == WriteStatus::Committed)
+      onWritten(it, result);
+    callback(result);
   });
 }
 
-void ConfigSyncService::State::readBackLater(const WritePtr &write,
-                                             const WriteCallback &callback) {
-  std::uint64_t number = NextTimer++;
-  ReadBackTimers[number] =
-      Kernel->loop().runAfter(ReadBackDelay, [this, number, write, callback] {
-        readBack(write, callback);
-        ReadBackTimers.erase(number);
-      });
-}
-
-void ConfigSyncService::State::continueWrite(const WritePtr &write,
-                                             const WriteDecision &decision,
-                                             const WriteCallback &callback) {
-  switch (decision.Step) {
-  case WriteStep::ReadBack:
-    readBack(write, callback);
-    return;
-  case WriteStep::ReadBackLater:
-    readBackLater(write, callback);
-    return;
-  case WriteStep::Write:
-    startWrite(write, callback);
-    return;
-  case WriteStep::Done:
-    break;
-  }
-  if (decision.Result.Status == WriteStatus::Committed)
-    onWritten(*write, decision.Result);
-  callback(decision.Result);
-}
-
 void ConfigSyncService::State::onWritten(const StoreWrite &write,
                                          const WriteResult &result) {
   // The operator's next read through this node sees the change; the watchers
@@ -361,7 +314,6 @@
 
 void ConfigSyncService::stop() {
   Impl->Ticker.cancel();
-  Impl->ReadBackTimers.clear();
   if (!Impl->Watch)
     return;
   Impl->Watch->stop();
@@ -372,6 +324,7 @@
   Impl->Peers.reset();
   Impl->Hosts.reset();
   Impl->Watch.reset();
+  Impl->Writer.reset();
   Impl->Store.reset();
 }
 
@@ -411,18 +364,14 @@
 void ConfigSyncService::compareAndSwap(const std::string &key,
                                        const std::string &value,
                                        std::uint64_t expectedRevision,
-                                       WriteCallback callback) {
-  auto write = std::make_shared<StoreWrite>();
-  *write = {key, value, expectedRevision};
-  Impl->startWrite(write, callback);
+                                       const WriteCallback &callback) {
+  Impl->write({key, value, expectedRevision}, callback);
 }
 
 void ConfigSyncService::compareAndDelete(const std::string &key,
                                          std::uint64_t expectedRevision,
-                                         WriteCallback callback) {
-  auto write = std::make_shared<StoreWrite>();
-  *write = {key, std::nullopt, expectedRevision};
-  Impl->startWrite(write, callback);
+                                         const WriteCallback &callback) {
+  Impl->write({key, std::nullopt, expectedRevision}, callback);
 }
 
 proto::SyncReply
@@ -437,7 +386,7 @@
 }
 
 void ConfigSyncService::queryInForce(std::uint64_t revision,
-                                     InForceCallback callback) {
+                                     const InForceCallback &callback) {
   struct Query {
     proto::InForceReply Reply;
     std::size_t Outstanding = 1;
--- a/baobabpin/configsync/ConfigSyncService.h
+++ b/baobabpin/configsync/ConfigSyncService.h
@@ -63,9 +63,10 @@
   /// exist). The value must contain the writer's mark, an ID drawn anew for
   /// each write: a lost answer is resolved by reading the value back.
   void compareAndSwap(const std::string &key, const std::string &value,
-                      std::uint64_t expectedRevision, WriteCallback callback);
+                      std::uint64_t expectedRevision,
+                      const WriteCallback &callback);
   void compareAndDelete(const std::string &key, std::uint64_t expectedRevision,
-                        WriteCallback callback);
+                        const WriteCallback &callback);
 
   /// For the Peer gRPC service: the difference that a peer asks for.
   proto::SyncReply handleSync(const proto::SyncRequest &request) const;
@@ -74,7 +75,7 @@
   proto::InForceReply handleInForce(std::uint64_t revision) const;
   /// Asks the watchers of all zones; nodes of a zone that gives no answer
   /// within a second are listed as cut off.
-  void queryInForce(std::uint64_t revision, InForceCallback callback);
+  void queryInForce(std::uint64_t revision, const InForceCallback &callback);
 
 private:
   struct State;
--- a/baobabpin/configsync/ConfigSyncServiceTest.cpp
+++ b/baobabpin/configsync/ConfigSyncServiceTest.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace baobabpin::configsync {
--- a/baobabpin/configsync/WatchersTest.cpp
+++ b/baobabpin/configsync/WatchersTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace baobabpin::configsync {
 namespace {
 
