--- a/standins/common/Program.cpp
+++ b/standins/common/Program.cpp
@@ -1,5 +1,7 @@
 #include "standins/common/Program.h"
 
+#include <glog/logging.h>
+
 #include <csignal>
 #include <iostream>
 
@@ -7,8 +9,25 @@
 
 using namespace baobabpin;
 
+namespace {
+
+/// Logs to the standard error: hosts have no disks.
+class LoggingScope {
+public:
+  explicit LoggingScope(const std::string &process) {
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(process.c_str());
+  }
+  ~LoggingScope() { google::ShutdownGoogleLogging(); }
+  LoggingScope(const LoggingScope &) = delete;
+  LoggingScope &operator=(const LoggingScope &) = delete;
+};
+
+} // namespace
+
 int runService(const std::string &process,
                std::unique_ptr<kernel::Service> service) {
+  LoggingScope logging(process);
   // A peer that closed its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   kernel::Kernel kernel(process);
--- a/standins/upstream/UpstreamServer.cpp
+++ b/standins/upstream/UpstreamServer.cpp
@@ -42,7 +42,7 @@
 } // namespace
 
 UpstreamServer::UpstreamServer(UpstreamOptions options)
-    : Options(std::move(options)) {}
+    : Options(std::move(options)), Name("upstream/" + Options.Open.Server) {}
 
 UpstreamServer::~UpstreamServer() = default;
 
--- a/standins/upstream/UpstreamServer.h
+++ b/standins/upstream/UpstreamServer.h
@@ -32,7 +32,7 @@
   explicit UpstreamServer(UpstreamOptions options);
   ~UpstreamServer() override;
 
-  std::string_view name() const override { return "upstream"; }
+  std::string_view name() const override { return Name; }
   baobabpin::base::Result<void>
   start(baobabpin::kernel::Kernel &kernel) override;
   void stop() override;
@@ -92,6 +92,7 @@
   void databaseChanged();
 
   UpstreamOptions Options;
+  std::string Name;
   Database Db;
   baobabpin::kernel::Kernel *Process = nullptr;
   std::unique_ptr<AnswerSender> Sender;
--- a/standins/upstream/UpstreamServerTest.cpp
+++ b/standins/upstream/UpstreamServerTest.cpp
@@ -1,5 +1,7 @@
 #include "standins/upstream/UpstreamServer.h"
 
+#include "standins/upstream/TestClient.h"
+
 #include <doctest/doctest.h>
 
 namespace standins::upstream {
@@ -7,41 +9,7 @@
 
 using namespace std::chrono_literals;
 using namespace baobabpin;
-
-/// A connection to a server, with the loop run until each answer.
-struct Client {
-  Client(kernel::EventLoop &loop, const http::Endpoint &endpoint)
-      : Loop(loop), Connection(loop, endpoint) {}
-
-  json call(const std::string &path, json body) {
-    http::HttpReply reply;
-    Connection.post(path, dumpJson(body), 5s, [&](http::HttpReply it) {
-      reply = std::move(it);
-      Loop.stop();
-    });
-    Loop.run();
-    Broken = reply.Result != http::Transfer::Completed;
-    return json::parse(reply.Body, nullptr, false);
-  }
-  json write(int id, const std::string &text) {
-    return call("/v1/execute", {{"id", id},
-                                {"term", 1},
-                                {"kind", "write"},
-                                {"statement", text},
-                                {"request_id", request(id)}});
-  }
-  static std::string request(int id) {
-    using std::chrono::system_clock;
-    static const auto Now =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            system_clock::now().time_since_epoch());
-    return std::to_string(Now.count()) + "-" + std::to_string(id);
-  }
-
-  kernel::EventLoop &Loop;
-  http::HttpConnection Connection;
-  bool Broken = false;
-};
+using testing::TestClient;
 
 struct RunningServer {
   RunningServer() : Process("test") {
@@ -58,7 +26,7 @@
     REQUIRE(started);
   }
 
-  Client connect() { return {Process.loop(), Server->endpoint()}; }
+  TestClient connect() { return {Process.loop(), Server->endpoint()}; }
 
   kernel::Kernel Process;
   UpstreamServer *Server = nullptr;
@@ -66,7 +34,7 @@
 
 TEST_CASE("answers under faults") {
   RunningServer running;
-  Client client = running.connect();
+  TestClient client = running.connect();
   CHECK(client.write(1, "ADD n 1")["result"] == "1");
 
   SUBCASE("a crossed answer carries the other request's ID, the effect stays") {
@@ -77,7 +45,7 @@
   SUBCASE("a lost answer breaks the connection after the effect") {
     client.call("/admin/fault", {{"drop", 1}});
     client.write(2, "ADD n 1");
-    CHECK(client.Broken);
+    CHECK(client.IsBroken);
     json again = client.write(2, "ADD n 1");
     CHECK(again["replayed"] == true);
     CHECK(again["result"] == "2");
@@ -88,8 +56,8 @@
     CHECK(answer["error"] == "bad_request");
   }
   SUBCASE("connections beyond the limit are refused, status calls too") {
-    Client second = running.connect();
-    Client third = running.connect();
+    TestClient second = running.connect();
+    TestClient third = running.connect();
     CHECK(second.call("/v1/status", {{"id", 1}})["connections"] == 2);
     CHECK(third.call("/v1/status", {{"id", 1}})["error"] ==
           "too_many_connections");
@@ -99,7 +67,7 @@
 // Guards against a slot that stays taken: the server would serve nobody.
 TEST_CASE("a transaction's slot is freed however the transaction ends") {
   RunningServer running;
-  Client client = running.connect();
+  TestClient client = running.connect();
   json begun = client.call("/v1/begin", {{"id", 1}, {"term", 1}});
   std::string name = begun["transaction"];
 
@@ -107,7 +75,7 @@
     client.call("/v1/commit", {{"id", 2},
                                {"term", 1},
                                {"transaction", name},
-                               {"request_id", Client::request(2)}});
+                               {"request_id", TestClient::request(2)}});
   }
   SUBCASE("by rollback") {
     client.call("/v1/rollback",
