--- a/baobabpin/replication/Freshness.cpp
+++ b/baobabpin/replication/Freshness.cpp
@@ -100,7 +100,7 @@
   if (!known || !known->Report || internal::isSuspect(state, *known, now))
     return fit;
   fit.Result = Qualification::Qualifies;
-  if (known->Report->Leaving) {
+  if (isLeaving(*known)) {
     fit.Result = Qualification::Leaving;
     return fit;
   }
--- a/baobabpin/replication/GroupState.cpp
+++ b/baobabpin/replication/GroupState.cpp
@@ -11,6 +11,30 @@
   return state;
 }
 
+void reconfigure(GroupState &state, GroupConfig config) {
+  std::vector<ServerKnowledge> servers;
+  for (const auto &it : config.Servers) {
+    const auto *known = findServer(state, it.Id);
+    servers.push_back(known ? *known : ServerKnowledge{});
+    servers.back().Config = it;
+  }
+  state.Servers = std::move(servers);
+  state.Config = std::move(config);
+  // The counts of a running promotion or handover refer to the old servers.
+  state.Promoting.Stage = PromotionStage::Idle;
+  state.Handing.Stage = HandoverStage::Idle;
+}
+
+void setStopping(GroupState &state, const base::ServerId &server,
+                 bool stopping) {
+  if (auto *known = findServer(state, server))
+    known->Stopping = stopping;
+}
+
+bool isLeaving(const ServerKnowledge &server) {
+  return server.Stopping || (server.Report && server.Report->Leaving);
+}
+
 const ServerKnowledge *findServer(const GroupState &state,
                                   const base::ServerId &id) {
   for (const auto &it : state.Servers) {
--- a/baobabpin/replication/GroupState.h
+++ b/baobabpin/replication/GroupState.h
@@ -19,6 +19,8 @@
 /// What is known of one server.
 struct ServerKnowledge {
   ServerConfig Config;
+  /// Declared by a planned stop: gets no new work.
+  bool Stopping = false;
   /// Newest accepted report; empty until the first answer.
   std::optional<ServerReport> Report;
   /// Send time of the request that Report answers.
@@ -114,6 +116,18 @@
 /// The state of a node that has not heard from any server.
 GroupState makeGroupState(GroupConfig config, base::TimePoint now);
 
+/// Takes a changed configuration and keeps what is known of the servers that
+/// stay. At most one server may be added or removed at a time (design section
+/// 4.8).
+void reconfigure(GroupState &state, GroupConfig config);
+
+/// Marks a server for a planned stop, or takes the mark back.
+void setStopping(GroupState &state, const base::ServerId &server,
+                 bool stopping);
+
+/// Whether the server gets no new work: by its own report or a planned stop.
+bool isLeaving(const ServerKnowledge &server);
+
 ServerKnowledge *findServer(GroupState &state, const base::ServerId &id);
 const ServerKnowledge *findServer(const GroupState &state,
                                   const base::ServerId &id);
--- a/baobabpin/replication/Handover.cpp
+++ b/baobabpin/replication/Handover.cpp
@@ -23,7 +23,7 @@
   auto wanted = from->Report->Position;
   return std::ranges::any_of(state.Servers, [&](const ServerKnowledge &it) {
     return it.Config.Id != handing.From && isReachable(state, it, now) &&
-           !it.Report->Leaving && it.Report->Position >= wanted;
+           !isLeaving(it) && it.Report->Position >= wanted;
   });
 }
 
--- a/baobabpin/replication/Promotion.cpp
+++ b/baobabpin/replication/Promotion.cpp
@@ -135,18 +135,22 @@
                                state.Config.Times.PromoteTimeout});
 }
 
-/// The highest position among the grants; in configured order among equals.
-/// Skips \p avoid.
+/// The highest position among the grants; among equals a server that stays,
+/// then the first in configured order. Skips \p avoid.
 base::ServerId bestGrant(const GroupState &state, const base::ServerId &avoid) {
   base::ServerId best;
   base::LogPosition highest;
+  bool bestStays = false;
   for (const auto &it : state.Servers) {
     auto grant = state.Promoting.Grants.find(it.Config.Id);
     if (grant == state.Promoting.Grants.end() || it.Config.Id == avoid)
       continue;
-    if (best.empty() || grant->second > highest) {
+    bool stays = !isLeaving(it);
+    if (best.empty() || grant->second > highest ||
+        (grant->second == highest && stays && !bestStays)) {
       best = it.Config.Id;
       highest = grant->second;
+      bestStays = stays;
     }
   }
   return best;
--- a/baobabpin/soak/FakeServer.cpp
+++ b/baobabpin/soak/FakeServer.cpp
@@ -54,17 +54,28 @@
 }
 
 void applyBatch(ServerFleet &fleet, FakeServer &server, upstream::Batch batch) {
-  if (batch.Term == 0)
-    return;
+  --server.PendingBatches;
   if (fleet.Disabled == Safeguard::TermCheck)
     batch.Term = std::max(batch.Term, server.Db.PromisedTerm);
   if (fleet.Disabled == Safeguard::Fence)
     batch.Term = std::max(batch.Term, server.Db.Term);
-  auto answer = upstream::appendBatch(server.Db, fleet.Sim->Now, batch);
-  if (!answer.isOk())
+  if (upstream::appendBatch(server.Db, fleet.Sim->Now, batch).isOk())
+    noteChange(fleet, server);
+}
+
+void receiveBatch(ServerFleet &fleet, FakeServer &server,
+                  const upstream::Batch &batch) {
+  if (batch.Term == 0 || batch.Term < server.Db.PromisedTerm)
     return;
   upstream::notePrimaryContact(server.Db, fleet.Sim->Now, batch.Primary);
-  noteChange(fleet, server);
+  server.Ahead = upstream::summaryAfter(std::move(server.Ahead), batch);
+  ++server.PendingBatches;
+  if (server.Lag == Duration::zero()) {
+    applyBatch(fleet, server, batch);
+    return;
+  }
+  scheduleOn(*fleet.Sim, server.Proc, server.Lag,
+             [&fleet, &server, batch] { applyBatch(fleet, server, batch); });
 }
 
 void pull(ServerFleet &fleet, FakeServer &server) {
@@ -79,15 +90,14 @@
     again();
     return;
   }
+  if (server.PendingBatches == 0)
+    server.Ahead = upstream::summarize(server.Db);
   auto serve = [&fleet, &server, primary, again,
-                summary = upstream::summarize(server.Db)](Reply reply) {
+                summary = server.Ahead](const Reply &reply) {
     auto batch = upstream::entriesFor(primary->Db, summary, BatchLimit);
     reply([&fleet, &server, again, batch = std::move(batch)] {
-      scheduleOn(*fleet.Sim, server.Proc, server.Lag,
-                 [&fleet, &server, again, batch] {
-                   applyBatch(fleet, server, batch);
-                   again();
-                 });
+      receiveBatch(fleet, server, batch);
+      again();
     });
   };
   call(*fleet.Sim, server.Proc, primary->Proc, PullTimeout, std::move(serve),
@@ -111,6 +121,7 @@
 void crashServer(FakeServer &server) {
   stopProcess(server.Proc);
   server.Waiting.clear();
+  server.PendingBatches = 0;
 }
 
 void restartServer(ServerFleet &fleet, FakeServer &server) {
--- a/baobabpin/soak/FakeServer.h
+++ b/baobabpin/soak/FakeServer.h
@@ -24,8 +24,12 @@
   Database Db;
   std::vector<WaitingStatus> Waiting;
   std::uint64_t NextTicket = 0;
-  /// Extra delay before a batch is applied.
+  /// Extra delay between the arrival of a batch and its application. The
+  /// contact with the primary does not wait for it.
   Duration Lag{};
+  /// The log's end once all delayed batches are applied.
+  standins::upstream::LogSummary Ahead;
+  std::size_t PendingBatches = 0;
   std::uint64_t Truncations = 0;
 };
 
--- a/baobabpin/soak/Faults.cpp
+++ b/baobabpin/soak/Faults.cpp
@@ -195,12 +195,22 @@
 
 void scheduleNext(World &world);
 
+const FaultKind &pickKind(World &world) {
+  std::vector<const FaultKind *> allowed;
+  const auto &names = world.Options.Faults;
+  for (const auto &it : Kinds) {
+    if (names.empty() || std::ranges::find(names, it.Name) != names.end())
+      allowed.push_back(&it);
+  }
+  auto last = static_cast<std::int64_t>(allowed.size()) - 1;
+  return *allowed.at(static_cast<std::size_t>(pick(world.Sim, 0, last)));
+}
+
 void startOne(World &world) {
   if (world.Sim.Now >= world.FaultEnd)
     return;
-  auto last = static_cast<std::int64_t>(Kinds.size()) - 1;
-  const auto &kind = Kinds[static_cast<std::size_t>(pick(world.Sim, 0, last))];
-  auto length = pickDuration(world.Sim, ms(30), ms(2500));
+  const auto &kind = pickKind(world);
+  auto length = pickDuration(world.Sim, ms(30), world.Options.MaxFault);
   ++world.FaultCounts[kind.Name];
   trace(world.Sim, [&] {
     return std::string("fault ") + kind.Name + " for " +
@@ -211,7 +221,7 @@
 }
 
 void scheduleNext(World &world) {
-  auto gap = pickDuration(world.Sim, ms(10), ms(600));
+  auto gap = pickDuration(world.Sim, ms(10), world.FaultGap);
   schedule(world.Sim, gap, [&world] { startOne(world); });
 }
 
--- a/baobabpin/soak/Main.cpp
+++ b/baobabpin/soak/Main.cpp
@@ -87,7 +87,13 @@
       "safeguard to disable: fence, majority, term, record, "
       "position, age",
       cxxopts::value<std::string>()->default_value("none"))(
-      "fixed-timeout", "baseline policy: promote after a fixed timeout")(
+      "faults", "only these kinds of fault, separated by commas",
+      cxxopts::value<std::vector<std::string>>()->default_value(""))(
+      "max-fault", "longest fault in fake milliseconds",
+      cxxopts::value<std::int64_t>()->default_value("2500"))(
+      "fixed-timeout",
+      "baseline policy: promote after this silence in fake milliseconds",
+      cxxopts::value<std::int64_t>())(
       "keep-going", "print violations without a trace and continue")(
       "trace", "print the trace of the first seed")("help", "this text");
   try {
@@ -104,8 +110,13 @@
     soak::SoakOptions run{.Seed = given["seed"].as<std::uint64_t>(),
                           .Steps = given["steps"].as<std::int64_t>(),
                           .Disabled = *disabled};
-    if (given.count("fixed-timeout") > 0)
+    if (given.count("faults") > 0)
+      run.Faults = given["faults"].as<std::vector<std::string>>();
+    run.MaxFault = soak::ms(given["max-fault"].as<std::int64_t>());
+    if (given.count("fixed-timeout") > 0) {
       run.Policy = replication::PromotionPolicy::FixedTimeout;
+      run.FixedTimeout = soak::ms(given["fixed-timeout"].as<std::int64_t>());
+    }
     if (given.count("trace") > 0)
       soak::printTrace(run);
     return soak::run(run, given["runs"].as<std::uint64_t>(),
--- a/baobabpin/soak/Members.cpp
+++ b/baobabpin/soak/Members.cpp
@@ -39,7 +39,8 @@
 void refresh(World &world, OwnerNode &node) {
   bool allUnfit = false;
   auto order = orderSeenBy(world, node, allUnfit);
-  node.State.Active = !order.empty() && order.front() == node.Proc.Name;
+  bool first = !order.empty() && order.front() == node.Proc.Name;
+  node.State.Active = world.AllActive || first;
   node.State.LastResort = node.State.Active && allUnfit;
   auto delay = pickDuration(world.Sim, RefreshMin, RefreshMax);
   scheduleOn(world.Sim, node.Proc, delay,
--- a/baobabpin/soak/Soak.cpp
+++ b/baobabpin/soak/Soak.cpp
@@ -63,9 +63,12 @@
   context.Disabled = world.Options.Disabled;
   context.Config.Group = "group-" + std::to_string(world.Options.Seed % 7);
   context.Config.Policy = world.Options.Policy;
+  context.Config.FixedTimeout = world.Options.FixedTimeout;
   addServers(world, chance(sim, 0.7) ? 3 : 5);
   addNodes(world, static_cast<std::size_t>(pick(sim, 2, 4)));
   addCallers(world, static_cast<unsigned>(pick(sim, 2, 6)));
+  world.FaultGap = ms(pick(sim, 100, 2500));
+  world.AllActive = chance(sim, 0.2);
   world.FaultEnd = sim.Now + ms(world.Options.Steps);
 }
 
--- a/baobabpin/soak/Soak.h
+++ b/baobabpin/soak/Soak.h
@@ -17,7 +17,12 @@
   Safeguard Disabled = Safeguard::None;
   replication::PromotionPolicy Policy =
       replication::PromotionPolicy::ReplicaView;
+  Duration FixedTimeout = ms(1000);
   bool Tracing = false;
+  /// Names of the only kinds of fault to use; empty for all.
+  std::vector<std::string> Faults;
+  /// Longest fault.
+  Duration MaxFault = ms(2500);
 };
 
 struct SoakResult {
--- a/baobabpin/soak/World.h
+++ b/baobabpin/soak/World.h
@@ -29,6 +29,10 @@
   std::deque<Caller> Callers;
   AttemptId NextAttempt = 1;
   TimePoint FaultEnd;
+  /// Longest pause between two faults; drawn for each run.
+  Duration FaultGap = ms(600);
+  /// Every node believes itself the owner, for the whole run.
+  bool AllActive = false;
   bool CallersStopped = false;
   bool StoreDown = false;
   std::uint64_t NotRun = 0;
