--- a/baobabpin/soak/Main.cpp
+++ b/baobabpin/soak/Main.cpp
@@ -37,6 +37,7 @@
   std::cout << "promotions_finished=" << counters.PromotionsFinished
             << " promotions_failed=" << counters.PromotionsFailed
             << " false_promotions=" << counters.FalsePromotions
+            << " of_them_by_last_resort=" << counters.LastResortPromotions
             << " handovers_done=" << counters.HandoversDone
             << " handovers_failed=" << counters.HandoversFailed
             << " own_pauses=" << counters.OwnPauses
--- a/baobabpin/soak/OwnerNode.cpp
+++ b/baobabpin/soak/OwnerNode.cpp
@@ -115,10 +115,10 @@
        [serve] { serve(nullptr); });
 }
 
-/// Whether the primary runs and a majority of the servers can reach it.
-bool isHealthyPrimary(const NodeContext &context, const std::string &id) {
-  const auto *primary = findServer(*context.Fleet, id);
-  if (!primary || !primary->Proc.Alive || primary->Proc.Paused)
+/// Whether the server runs and a majority of the servers can reach it.
+bool isHealthy(const NodeContext &context, const FakeServer &server) {
+  const auto *primary = &server;
+  if (!primary->Proc.Alive || primary->Proc.Paused)
     return false;
   const auto &cuts = context.Sim->Network.Cuts;
   std::size_t reachable = 0;
@@ -136,8 +136,13 @@
   ++context.Counters.Promotions[static_cast<std::size_t>(event.Reason)];
   auto primary = replication::currentPrimary(node.State);
   bool suspicion = event.Reason == replication::PromotionReason::PrimarySuspect;
-  if (suspicion && primary && isHealthyPrimary(context, primary->Primary))
+  auto healthyFor =
+      primary ? context.Sim->Now - context.UnhealthyAt[primary->Primary]
+              : Duration::zero();
+  if (suspicion && healthyFor > node.State.Config.Times.SuspectAfter) {
     ++context.Counters.FalsePromotions;
+    context.Counters.LastResortPromotions += node.State.LastResort ? 1 : 0;
+  }
   trace(*context.Sim, [&] {
     return node.State.Config.Self +
            " starts promotion term=" + std::to_string(event.Term) + " reason=" +
@@ -542,6 +547,14 @@
 
 } // namespace
 
+void watchHealth(NodeContext &context) {
+  for (const auto &it : context.Fleet->Servers) {
+    if (!isHealthy(context, it))
+      context.UnhealthyAt[it.Proc.Name] = context.Sim->Now;
+  }
+  schedule(*context.Sim, TickInterval, [&context] { watchHealth(context); });
+}
+
 TimePoint nodeTime(const Simulation &sim, const OwnerNode &node) {
   auto since = std::chrono::duration<double, Duration::period>(
       sim.Now.time_since_epoch());
--- a/baobabpin/soak/OwnerNode.h
+++ b/baobabpin/soak/OwnerNode.h
@@ -58,9 +58,11 @@
   std::uint64_t Promotions[5] = {};
   std::uint64_t PromotionsFinished = 0;
   std::uint64_t PromotionsFailed = 0;
-  /// Promotions because of suspicion while the primary was alive, running and
-  /// reachable from a majority of the servers.
+  /// Promotions because of suspicion although the primary ran and was reachable
+  /// from a majority of the servers for the whole time of suspicion.
   std::uint64_t FalsePromotions = 0;
+  /// The part of them by last resort: no node reached the primary.
+  std::uint64_t LastResortPromotions = 0;
   std::uint64_t HandoversDone = 0;
   std::uint64_t HandoversFailed = 0;
   std::uint64_t OwnPauses = 0;
@@ -87,8 +89,13 @@
   replication::GroupConfig Config;
   Safeguard Disabled = Safeguard::None;
   NodeCounters Counters;
+  /// When each server was last seen dead, paused or cut off from a majority.
+  std::map<std::string, TimePoint> UnhealthyAt;
 };
 
+/// Samples the health of the servers, to recognise false promotions.
+void watchHealth(NodeContext &context);
+
 /// Starts a new incarnation without any knowledge.
 void startNode(NodeContext &context, OwnerNode &node);
 void crashNode(OwnerNode &node);
--- a/baobabpin/soak/Soak.cpp
+++ b/baobabpin/soak/Soak.cpp
@@ -81,6 +81,7 @@
   }
   for (auto &it : world.Callers)
     startCaller(world, it);
+  watchHealth(world.Context);
   startFaults(world);
 }
 
@@ -171,6 +172,7 @@
   sum.Counters.PromotionsFinished += one.Counters.PromotionsFinished;
   sum.Counters.PromotionsFailed += one.Counters.PromotionsFailed;
   sum.Counters.FalsePromotions += one.Counters.FalsePromotions;
+  sum.Counters.LastResortPromotions += one.Counters.LastResortPromotions;
   sum.Counters.HandoversDone += one.Counters.HandoversDone;
   sum.Counters.HandoversFailed += one.Counters.HandoversFailed;
   sum.Counters.OwnPauses += one.Counters.OwnPauses;
