--- a/baobabpin/soak/Callers.cpp
+++ b/baobabpin/soak/Callers.cpp
@@ -70,7 +70,7 @@
       onReadResponse(caller, request, response);
     then();
   };
-  auto serve = [&world, &node, request, end](Reply reply) {
+  auto serve = [&world, &node, request, end](const Reply &reply) {
     serveRequest(world.Context, node, request,
                  [reply, end](const Response &response) {
                    reply([end, response] { end(response); });
--- a/baobabpin/soak/Main.cpp
+++ b/baobabpin/soak/Main.cpp
@@ -2,6 +2,7 @@
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 namespace baobabpin::soak {
@@ -47,6 +48,38 @@
   std::cout << "\n";
 }
 
+/// Prints the gaps of \p runs interruptions; 1 when one of them never ended.
+int printGaps(SoakOptions options, std::uint64_t runs,
+              Interruption interruption) {
+  std::vector<Duration> gaps;
+  auto first = options.Seed;
+  for (std::uint64_t n = 0; n < runs; ++n) {
+    options.Seed = first + n;
+    auto gap = measureGap(options, interruption);
+    if (gap)
+      gaps.push_back(*gap);
+    else
+      std::cout << "no acknowledgement seed=" << options.Seed << "\n";
+  }
+  std::ranges::sort(gaps);
+  std::cout << "gaps=" << gaps.size() << " of=" << runs;
+  if (!gaps.empty())
+    std::cout << " median_s=" << seconds(gaps[gaps.size() / 2])
+              << " worst_s=" << seconds(gaps.back());
+  std::cout << "\n";
+  return gaps.size() == runs ? 0 : 1;
+}
+
+std::optional<Interruption> parseInterruption(const std::string &name) {
+  if (name == "cut")
+    return Interruption::PrimaryCutOff;
+  if (name == "crash")
+    return Interruption::PrimaryCrashed;
+  if (name == "handover")
+    return Interruption::Handover;
+  return std::nullopt;
+}
+
 int run(SoakOptions options, std::uint64_t runs, bool keepGoing) {
   SoakResult sum;
   std::uint64_t violations = 0;
@@ -95,6 +128,10 @@
       "fixed-timeout",
       "baseline policy: promote after this silence in fake milliseconds",
       cxxopts::value<std::int64_t>())(
+      "gap",
+      "measure the gap after an interruption of the primary: cut, "
+      "crash, handover",
+      cxxopts::value<std::string>())(
       "keep-going", "print violations without a trace and continue")(
       "trace", "print the trace of the first seed")("help", "this text");
   try {
@@ -118,10 +155,17 @@
       run.Policy = replication::PromotionPolicy::FixedTimeout;
       run.FixedTimeout = soak::ms(given["fixed-timeout"].as<std::int64_t>());
     }
+    auto runs = given["runs"].as<std::uint64_t>();
+    if (given.count("gap") > 0) {
+      auto kind = soak::parseInterruption(given["gap"].as<std::string>());
+      if (kind)
+        return soak::printGaps(run, runs, *kind);
+      std::cerr << "soak: unknown interruption\n";
+      return 2;
+    }
     if (given.count("trace") > 0)
       soak::printTrace(run);
-    return soak::run(run, given["runs"].as<std::uint64_t>(),
-                     given.count("keep-going") > 0);
+    return soak::run(run, runs, given.count("keep-going") > 0);
   } catch (const cxxopts::exceptions::exception &error) {
     std::cerr << "soak: " << error.what() << "\n";
     return 2;
--- a/baobabpin/soak/OwnerNode.cpp
+++ b/baobabpin/soak/OwnerNode.cpp
@@ -47,7 +47,7 @@
                 const replication::SendStatus &request) {
   auto *server = findServer(*context.Fleet, request.Server);
   auto sentAt = nodeTime(*context.Sim, node);
-  auto serve = [&context, &node, server, request, sentAt](Reply reply) {
+  auto serve = [&context, &node, server, request, sentAt](const Reply &reply) {
     auto answer = [&context, &node, reply,
                    sentAt](const replication::ServerReport &report) {
       reply([&context, &node, report, sentAt] {
@@ -68,7 +68,7 @@
                  const replication::SendPrepare &request) {
   auto *server = findServer(*context.Fleet, request.Server);
   auto sentAt = nodeTime(*context.Sim, node);
-  auto serve = [&context, &node, server, request, sentAt](Reply reply) {
+  auto serve = [&context, &node, server, request, sentAt](const Reply &reply) {
     auto answer =
         servePrepare(*context.Fleet, *server, request.Term, request.Candidate);
     reply([&context, &node, answer, sentAt] {
@@ -86,7 +86,7 @@
                  const replication::SendPromote &request) {
   auto *server = findServer(*context.Fleet, request.Server);
   auto sentAt = nodeTime(*context.Sim, node);
-  auto serve = [&context, &node, server, request, sentAt](Reply reply) {
+  auto serve = [&context, &node, server, request, sentAt](const Reply &reply) {
     auto answer =
         servePromote(*context.Fleet, *server, request.Term, request.Candidate);
     trace(*context.Sim, [&] {
@@ -324,7 +324,7 @@
   op->Term = leader.Term;
   ++node.WritesInFlight;
   auto sentAt = nodeTime(*context.Sim, node);
-  auto serve = [&context, &node, op, server, sentAt](Reply reply) {
+  auto serve = [&context, &node, op, server, sentAt](const Reply &reply) {
     auto answer =
         serveExecute(*context.Fleet, *server,
                      {.Term = op->Term,
@@ -430,7 +430,8 @@
   op->Term = target.Term;
   op->OnReplica = target.Term == 0;
   auto sentAt = nodeTime(*context.Sim, node);
-  auto serve = [&context, &node, op, server, target, sentAt](Reply reply) {
+  auto serve = [&context, &node, op, server, target,
+                sentAt](const Reply &reply) {
     auto answer =
         serveExecute(*context.Fleet, *server,
                      {.Term = target.Term,
--- a/baobabpin/soak/Simulation.cpp
+++ b/baobabpin/soak/Simulation.cpp
@@ -135,7 +135,7 @@
 } // namespace
 
 void call(Simulation &sim, Process &from, Process &to, Duration timeout,
-          std::function<void(Reply)> serve,
+          std::function<void(const Reply &)> serve,
           std::function<void(CallFailure)> fail) {
   auto state = std::make_shared<CallState>(CallState{.Epoch = from.Epoch});
   Reply reply = [&sim, &from, &to, state](Task task) {
--- a/baobabpin/soak/Simulation.h
+++ b/baobabpin/soak/Simulation.h
@@ -108,7 +108,7 @@
 /// Request and answer on a connection of their own: the answer arrives once, or
 /// \p fail runs once. A late answer is dropped, as its connection is closed.
 void call(Simulation &sim, Process &from, Process &to, Duration timeout,
-          std::function<void(Reply)> serve,
+          std::function<void(const Reply &)> serve,
           std::function<void(CallFailure)> fail);
 
 } // namespace baobabpin::soak
--- a/baobabpin/soak/Soak.cpp
+++ b/baobabpin/soak/Soak.cpp
@@ -82,7 +82,6 @@
   for (auto &it : world.Callers)
     startCaller(world, it);
   watchHealth(world.Context);
-  startFaults(world);
 }
 
 FakeServer *leadingServer(World &world) {
@@ -121,8 +120,28 @@
   return world.Sim.Now - begun;
 }
 
+void interrupt(World &world, FakeServer &primary, Interruption interruption) {
+  auto victim = primary.Proc.Index;
+  switch (interruption) {
+  case Interruption::PrimaryCutOff:
+    for (std::size_t n = 0; n < world.Fleet.Servers.size() + world.Nodes.size();
+         ++n) {
+      world.Sim.Network.Cuts.insert({n, victim});
+      world.Sim.Network.Cuts.insert({victim, n});
+    }
+    return;
+  case Interruption::PrimaryCrashed:
+    crashServer(primary);
+    return;
+  case Interruption::Handover:
+    requestHandover(world.Context, *preferredNode(world));
+    return;
+  }
+}
+
 Duration runPhases(World &world) {
   start(world);
+  startFaults(world);
   runUntil(world.Sim, world.FaultEnd);
   healAll(world);
   trace(world.Sim, [] { return std::string("all faults ended"); });
@@ -166,6 +185,32 @@
   return result;
 }
 
+std::optional<Duration> measureGap(const SoakOptions &options,
+                                   Interruption interruption) {
+  constexpr Duration Settle = ms(2000);
+  World world;
+  world.Options = options;
+  build(world);
+  world.AllActive = false;
+  start(world);
+  auto at = world.Sim.Now + Settle +
+            pickDuration(world.Sim, Duration::zero(), ms(100));
+  runUntil(world.Sim, at);
+  auto *primary = leadingServer(world);
+  if (!primary)
+    return std::nullopt;
+  auto term = primary->Db.Term;
+  interrupt(world, *primary, interruption);
+  for (auto n = world.Check.Acked.size(); world.Sim.Now < at + LivenessBound;) {
+    runUntil(world.Sim, world.Sim.Now + ms(1));
+    for (; n < world.Check.Acked.size(); ++n) {
+      if (world.Check.Acked[n].ConfirmedBy > term)
+        return world.Check.Acked[n].At - at;
+    }
+  }
+  return std::nullopt;
+}
+
 void addResult(SoakResult &sum, const SoakResult &one) {
   for (std::size_t n = 0; n < std::size(sum.Counters.Promotions); ++n)
     sum.Counters.Promotions[n] += one.Counters.Promotions[n];
--- a/baobabpin/soak/Soak.h
+++ b/baobabpin/soak/Soak.h
@@ -46,6 +46,17 @@
 
 SoakResult runSoak(const SoakOptions &options);
 
+enum class Interruption {
+  PrimaryCutOff,  ///< All links of the primary's server are cut.
+  PrimaryCrashed, ///< Its connections are refused.
+  Handover,       ///< A planned handover of the primary.
+};
+
+/// The time from an interruption, of a group without other faults, to the first
+/// acknowledgement under a later term. Empty when there was none within 30 s.
+std::optional<Duration> measureGap(const SoakOptions &options,
+                                   Interruption interruption);
+
 /// Adds the counters of \p one to \p sum.
 void addResult(SoakResult &sum, const SoakResult &one);
 
