--- a/baobabpin/soak/Main.cpp
+++ b/baobabpin/soak/Main.cpp
@@ -2,6 +2,7 @@
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 namespace baobabpin::soak {
@@ -37,6 +38,7 @@
   std::cout << "promotions_finished=" << counters.PromotionsFinished
             << " promotions_failed=" << counters.PromotionsFailed
             << " false_promotions=" << counters.FalsePromotions
+            << " of_them_by_last_resort=" << counters.LastResortPromotions
             << " handovers_done=" << counters.HandoversDone
             << " handovers_failed=" << counters.HandoversFailed
             << " own_pauses=" << counters.OwnPauses
@@ -46,6 +48,38 @@
   std::cout << "\n";
 }
 
+/// Prints the gaps of \p runs interruptions; 1 when one of them never ended.
+int printGaps(SoakOptions options, std::uint64_t runs,
+              Interruption interruption) {
+  std::vector<Duration> gaps;
+  auto first = options.Seed;
+  for (std::uint64_t n = 0; n < runs; ++n) {
+    options.Seed = first + n;
+    auto gap = measureGap(options, interruption);
+    if (gap)
+      gaps.push_back(*gap);
+    else
+      std::cout << "no acknowledgement seed=" << options.Seed << "\n";
+  }
+  std::ranges::sort(gaps);
+  std::cout << "gaps=" << gaps.size() << " of=" << runs;
+  if (!gaps.empty())
+    std::cout << " median_s=" << seconds(gaps[gaps.size() / 2])
+              << " worst_s=" << seconds(gaps.back());
+  std::cout << "\n";
+  return gaps.size() == runs ? 0 : 1;
+}
+
+std::optional<Interruption> parseInterruption(const std::string &name) {
+  if (name == "cut")
+    return Interruption::PrimaryCutOff;
+  if (name == "crash")
+    return Interruption::PrimaryCrashed;
+  if (name == "handover")
+    return Interruption::Handover;
+  return std::nullopt;
+}
+
 int run(SoakOptions options, std::uint64_t runs, bool keepGoing) {
   SoakResult sum;
   std::uint64_t violations = 0;
@@ -87,7 +121,17 @@
       "safeguard to disable: fence, majority, term, record, "
       "position, age",
       cxxopts::value<std::string>()->default_value("none"))(
-      "fixed-timeout", "baseline policy: promote after a fixed timeout")(
+      "faults", "only these kinds of fault, separated by commas",
+      cxxopts::value<std::vector<std::string>>()->default_value(""))(
+      "max-fault", "longest fault in fake milliseconds",
+      cxxopts::value<std::int64_t>()->default_value("2500"))(
+      "fixed-timeout",
+      "baseline policy: promote after this silence in fake milliseconds",
+      cxxopts::value<std::int64_t>())(
+      "gap",
+      "measure the gap after an interruption of the primary: cut, "
+      "crash, handover",
+      cxxopts::value<std::string>())(
       "keep-going", "print violations without a trace and continue")(
       "trace", "print the trace of the first seed")("help", "this text");
   try {
@@ -104,12 +148,24 @@
     soak::SoakOptions run{.Seed = given["seed"].as<std::uint64_t>(),
                           .Steps = given["steps"].as<std::int64_t>(),
                           .Disabled = *disabled};
-    if (given.count("fixed-timeout") > 0)
+    if (given.count("faults") > 0)
+      run.Faults = given["faults"].as<std::vector<std::string>>();
+    run.MaxFault = soak::ms(given["max-fault"].as<std::int64_t>());
+    if (given.count("fixed-timeout") > 0) {
       run.Policy = replication::PromotionPolicy::FixedTimeout;
+      run.FixedTimeout = soak::ms(given["fixed-timeout"].as<std::int64_t>());
+    }
+    auto runs = given["runs"].as<std::uint64_t>();
+    if (given.count("gap") > 0) {
+      auto kind = soak::parseInterruption(given["gap"].as<std::string>());
+      if (kind)
+        return soak::printGaps(run, runs, *kind);
+      std::cerr << "soak: unknown interruption\n";
+      return 2;
+    }
     if (given.count("trace") > 0)
       soak::printTrace(run);
-    return soak::run(run, given["runs"].as<std::uint64_t>(),
-                     given.count("keep-going") > 0);
+    return soak::run(run, runs, given.count("keep-going") > 0);
   } catch (const cxxopts::exceptions::exception &error) {
     std::cerr << "soak: " << error.what() << "\n";
     return 2;
--- a/baobabpin/soak/Soak.cpp
+++ b/baobabpin/soak/Soak.cpp
@@ -63,9 +63,12 @@
   context.Disabled = world.Options.Disabled;
   context.Config.Group = "group-" + std::to_string(world.Options.Seed % 7);
   context.Config.Policy = world.Options.Policy;
+  context.Config.FixedTimeout = world.Options.FixedTimeout;
   addServers(world, chance(sim, 0.7) ? 3 : 5);
   addNodes(world, static_cast<std::size_t>(pick(sim, 2, 4)));
   addCallers(world, static_cast<unsigned>(pick(sim, 2, 6)));
+  world.FaultGap = ms(pick(sim, 100, 2500));
+  world.AllActive = chance(sim, 0.2);
   world.FaultEnd = sim.Now + ms(world.Options.Steps);
 }
 
@@ -78,7 +81,7 @@
   }
   for (auto &it : world.Callers)
     startCaller(world, it);
-  startFaults(world);
+  watchHealth(world.Context);
 }
 
 FakeServer *leadingServer(World &world) {
@@ -117,8 +120,28 @@
   return world.Sim.Now - begun;
 }
 
+void interrupt(World &world, FakeServer &primary, Interruption interruption) {
+  auto victim = primary.Proc.Index;
+  switch (interruption) {
+  case Interruption::PrimaryCutOff:
+    for (std::size_t n = 0; n < world.Fleet.Servers.size() + world.Nodes.size();
+         ++n) {
+      world.Sim.Network.Cuts.insert({n, victim});
+      world.Sim.Network.Cuts.insert({victim, n});
+    }
+    return;
+  case Interruption::PrimaryCrashed:
+    crashServer(primary);
+    return;
+  case Interruption::Handover:
+    requestHandover(world.Context, *preferredNode(world));
+    return;
+  }
+}
+
 Duration runPhases(World &world) {
   start(world);
+  startFaults(world);
   runUntil(world.Sim, world.FaultEnd);
   healAll(world);
   trace(world.Sim, [] { return std::string("all faults ended"); });
@@ -162,12 +185,39 @@
   return result;
 }
 
+std::optional<Duration> measureGap(const SoakOptions &options,
+                                   Interruption interruption) {
+  constexpr Duration Settle = ms(2000);
+  World world;
+  world.Options = options;
+  build(world);
+  world.AllActive = false;
+  start(world);
+  auto at = world.Sim.Now + Settle +
+            pickDuration(world.Sim, Duration::zero(), ms(100));
+  runUntil(world.Sim, at);
+  auto *primary = leadingServer(world);
+  if (!primary)
+    return std::nullopt;
+  auto term = primary->Db.Term;
+  interrupt(world, *primary, interruption);
+  for (auto n = world.Check.Acked.size(); world.Sim.Now < at + LivenessBound;) {
+    runUntil(world.Sim, world.Sim.Now + ms(1));
+    for (; n < world.Check.Acked.size(); ++n) {
+      if (world.Check.Acked[n].ConfirmedBy > term)
+        return world.Check.Acked[n].At - at;
+    }
+  }
+  return std::nullopt;
+}
+
 void addResult(SoakResult &sum, const SoakResult &one) {
   for (std::size_t n = 0; n < std::size(sum.Counters.Promotions); ++n)
     sum.Counters.Promotions[n] += one.Counters.Promotions[n];
   sum.Counters.PromotionsFinished += one.Counters.PromotionsFinished;
   sum.Counters.PromotionsFailed += one.Counters.PromotionsFailed;
   sum.Counters.FalsePromotions += one.Counters.FalsePromotions;
+  sum.Counters.LastResortPromotions += one.Counters.LastResortPromotions;
   sum.Counters.HandoversDone += one.Counters.HandoversDone;
   sum.Counters.HandoversFailed += one.Counters.HandoversFailed;
   sum.Counters.OwnPauses += one.Counters.OwnPauses;
