Bound gossip traffic and repair what it loses

Trials with 100 to 1,000 nodes started at once under 2 % loss showed two faults: joins filled every datagram for more than 12 s (14 KB/s a node), so that a refutation waited behind them and 2 nodes held a live one for dead; and 0.1 % of the pairs stayed unknown to each other after 12 s. State changes now go before joins, piggybacked updates have a byte budget of 3 KB/s with a reserve for bursts, a node pulls the list again while it grows and compares a page of it with a random member every 2 s.

--- a/baobabpin/membership/MemberList.cpp
+++ b/baobabpin/membership/MemberList.cpp
@@ -12,6 +12,9 @@
 
 /// Members that hear of this process' end from itself.
 constexpr std::size_t FarewellCount = 4;
+/// The list is pulled again when it has grown by this factor since.
+constexpr double PullGrowth = 1.01;
+constexpr base::Duration MaxPullDelay = 64s;
 
 bool isReachable(const MemberRecord &record) {
   return record.State <= MemberState::Leaving;
@@ -50,6 +53,17 @@
   renewSelf(list);
 }
 
+void refillBudget(MemberList &list, base::Duration gap) {
+  double seconds = std::chrono::duration<double>(gap).count();
+  list.UpdateBudget = std::min(
+      MaxUpdateBudget, list.UpdateBudget + seconds * UpdateBytesPerSecond);
+}
+
+void schedulePull(MemberList &list, base::TimePoint now) {
+  list.NextPull = now + list.PullDelay;
+  list.PullDelay = std::min(2 * list.PullDelay, MaxPullDelay);
+}
+
 void askHelpers(MemberList &list, std::uint64_t sequence, const Probe &probe,
                 std::vector<Outgoing> &out) {
   auto target = list.Members.find(probe.Target);
@@ -132,7 +146,8 @@
                std::vector<Outgoing> &out) {
   if (now < list.NextProbe)
     return;
-  list.NextProbe = now + list.Timing.ProbePeriod;
+  // Counted from the planned time: ticks are coarser than the period.
+  list.NextProbe = std::max(list.NextProbe + list.Timing.ProbePeriod, now);
   const MemberRecord *target = nextTarget(list);
   if (!target)
     return;
@@ -186,6 +201,30 @@
   return seeds;
 }
 
+/// When a whole fleet starts at once, the first pull finds a short list.
+void repeatPull(MemberList &list, base::TimePoint now) {
+  if (!list.ListPulled || now < list.NextPull)
+    return;
+  schedulePull(list, now);
+  if (static_cast<double>(list.Members.size()) <=
+      static_cast<double>(list.PulledSize) * PullGrowth)
+    return;
+  list.ListPulled = false;
+  list.ListCursor.clear();
+  list.NextSeedContact = now;
+}
+
+/// Repairs what gossip lost: an update is repeated a bounded number of times,
+/// so a few nodes may miss it.
+void comparePage(MemberList &list, base::TimePoint now,
+                 std::vector<Outgoing> &out) {
+  if (!list.ListPulled || now < list.NextPage)
+    return;
+  list.NextPage = now + list.Timing.PagePeriod;
+  for (const MemberRecord *it : randomMembers(list, 1))
+    out.push_back(requestList(list, it->GossipEndpoint));
+}
+
 void contactSeeds(MemberList &list, base::TimePoint now,
                   std::vector<Outgoing> &out) {
   if (now < list.NextSeedContact)
@@ -277,10 +316,13 @@
                 const std::string &sender, base::TimePoint now,
                 std::vector<Outgoing> &out) {
   list.ListCursor = page.list_after();
-  if (list.ListCursor.empty()) {
+  if (list.ListCursor.empty() && !list.ListPulled) {
     list.ListPulled = true;
-    return;
+    list.PulledSize = list.Members.size();
+    schedulePull(list, now);
   }
+  if (list.ListPulled)
+    return;
   list.NextSeedContact = now + list.Timing.SeedPeriod;
   out.push_back(requestList(list, sender));
 }
@@ -339,9 +381,11 @@
 
 std::vector<Outgoing> tick(MemberList &list, base::TimePoint now) {
   std::vector<Outgoing> out;
-  if (now - list.LastTick > list.Timing.PauseThreshold)
+  base::Duration gap = now - list.LastTick;
+  if (gap > list.Timing.PauseThreshold)
     recoverFromPause(list, now);
   list.LastTick = now;
+  refillBudget(list, gap);
   std::erase_if(list.Relays,
                 [&](const auto &it) { return now >= it.second.Deadline; });
   expireUnfit(list, now);
@@ -349,7 +393,9 @@
   checkSuspects(list, now, out);
   probeNext(list, now, out);
   checkDead(list, now, out);
+  repeatPull(list, now);
   contactSeeds(list, now, out);
+  comparePage(list, now, out);
   sendPromptPings(list, out);
   return out;
 }
--- a/baobabpin/membership/MemberList.h
+++ b/baobabpin/membership/MemberList.h
@@ -38,8 +38,10 @@
   base::Duration DeadProbeGap = 1s;
   /// A gap between ticks beyond this means that this process was paused.
   base::Duration PauseThreshold = 250ms;
-  /// Unreachable seeds and pages of the list are asked for this often.
+  /// A starting node asks seeds for the list this often.
   base::Duration SeedPeriod = 1s;
+  /// After that, one page of the list is compared with a random member's.
+  base::Duration PagePeriod = 2s;
   int IndirectProbes = 3;
 };
 
@@ -51,6 +53,12 @@
 /// unfit groups beyond it are left out, those that expire first.
 inline constexpr std::size_t MaxRecordBytes = 500;
 
+/// Piggybacked updates per second. With 1.5 KB/s of datagrams without updates
+/// a node stays below its limit of 7 KB/s; the budget saved up in quiet times
+/// lets the failure of a rack spread at full speed.
+inline constexpr double UpdateBytesPerSecond = 3'000;
+inline constexpr double MaxUpdateBudget = 60'000;
+
 struct Outgoing {
   /// "address:port".
   std::string Endpoint;
@@ -90,9 +98,13 @@
   base::TimePoint Deadline;
 };
 
+/// State changes go first: a refutation must not wait behind a burst of joins.
+enum class BroadcastClass { Change, Join };
+
 /// A record to piggyback, with the number of times it has been sent.
 struct Broadcast {
   base::NodeId Node;
+  BroadcastClass Class = BroadcastClass::Change;
   int Sent = 0;
 };
 
@@ -109,18 +121,26 @@
   std::map<std::uint64_t, Probe> Probes;
   std::map<std::uint64_t, Relay> Relays;
   std::deque<Broadcast> Broadcasts;
+  /// Bytes of queued updates that may be piggybacked now.
+  double UpdateBudget = MaxUpdateBudget;
   std::vector<MemberChange> Changes;
   std::mt19937_64 Random;
   std::uint64_t NextSequence = 1;
-  /// Cursor of the list pull that a starting node makes; see LIST_REQUEST.
+  /// Where the next page of other members' lists begins; see LIST_REQUEST.
   std::string ListCursor;
   bool ListPulled = false;
+  /// Size of the list at the end of the last pull, and when to look whether it
+  /// has grown so much that another pull is worth it.
+  std::size_t PulledSize = 0;
+  base::Duration PullDelay = 1s;
+  base::TimePoint NextPull;
   /// Members to ping at the next tick, because the own record changed.
   int PromptPings = 0;
   base::TimePoint LastTick;
   base::TimePoint NextProbe;
   base::TimePoint NextDeadProbe;
   base::TimePoint NextSeedContact;
+  base::TimePoint NextPage;
 };
 
 /// A list that knows only \p self; \p randomSeed fixes the probe order.
--- a/baobabpin/membership/MemberMerge.cpp
+++ b/baobabpin/membership/MemberMerge.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace baobabpin::membership {
 namespace {
@@ -12,6 +13,11 @@
 /// probe period a node sends two datagrams, so an update that reached a node is
 /// passed on for 2 periods per order; the randomised tests lose none at 4.
 constexpr int RepetitionsPerOrder = 4;
+/// Joins are repeated less: a new node also makes itself known by its own
+/// datagrams and through pages of the list.
+constexpr int JoinRepetitionsPart = 4;
+/// Joins leave this part of the budget to state changes.
+constexpr double JoinBudgetReserve = MaxUpdateBudget / 2;
 /// A datagram counts as full after this many records that did not fit.
 constexpr int MaxMisfits = 4;
 /// Pings sent at once after the own record changed.
@@ -22,10 +28,11 @@
   return base::Duration(part(list.Random));
 }
 
-void enqueue(MemberList &list, const base::NodeId &node) {
+void enqueue(MemberList &list, const base::NodeId &node,
+             BroadcastClass broadcastClass) {
   std::erase_if(list.Broadcasts,
                 [&](const Broadcast &it) { return it.Node == node; });
-  list.Broadcasts.push_front({node, 0});
+  list.Broadcasts.push_front({node, broadcastClass, 0});
 }
 
 void updateIndexes(MemberList &list, MemberEntry &entry, base::TimePoint now) {
@@ -59,7 +66,7 @@
   auto at = static_cast<std::ptrdiff_t>(place(list.Random));
   list.Round.insert(list.Round.begin() + at, record.Node);
   if (spreading == Spreading::PassOn)
-    enqueue(list, record.Node);
+    enqueue(list, record.Node, BroadcastClass::Join);
   list.Changes.push_back({record, std::nullopt, false});
 }
 
@@ -70,7 +77,7 @@
   entry.Record.AppliedRevision =
       std::max(old.AppliedRevision, record.AppliedRevision);
   if (spreading == Spreading::PassOn)
-    enqueue(list, record.Node);
+    enqueue(list, record.Node, BroadcastClass::Change);
   bool sameState = old.State == record.State;
   // A suspicion of a higher incarnation is a new one.
   if (!sameState || record.State == MemberState::Suspect)
@@ -203,10 +210,13 @@
   if (held != list.Members.end() &&
       held->second.Record.State >= MemberState::Suspect)
     addRecord(datagram, held->second.Record);
+  std::size_t sizeBefore = datagram.ByteSizeLong();
   int limit = retransmitLimit(list.Members.size());
   int misfits = 0;
   for (auto &it : list.Broadcasts) {
-    if (misfits == MaxMisfits)
+    bool isJoin = it.Class == BroadcastClass::Join;
+    if (misfits == MaxMisfits ||
+        list.UpdateBudget < (isJoin ? JoinBudgetReserve : 0))
       break;
     auto member = list.Members.find(it.Node);
     if (member == list.Members.end()) {
@@ -216,15 +226,19 @@
     if (it.Node == target)
       continue;
     if (addRecord(datagram, member->second.Record))
-      ++it.Sent;
+      it.Sent += isJoin ? JoinRepetitionsPart : 1;
     else
       ++misfits;
   }
+  list.UpdateBudget -=
+      static_cast<double>(datagram.ByteSizeLong() - sizeBefore);
   std::erase_if(list.Broadcasts,
                 [&](const Broadcast &it) { return it.Sent >= limit; });
-  std::stable_sort(
-      list.Broadcasts.begin(), list.Broadcasts.end(),
-      [](const Broadcast &a, const Broadcast &b) { return a.Sent < b.Sent; });
+  std::stable_sort(list.Broadcasts.begin(), list.Broadcasts.end(),
+                   [](const Broadcast &a, const Broadcast &b) {
+                     return std::pair(a.Class, a.Sent) <
+                            std::pair(b.Class, b.Sent);
+                   });
 }
 
 } // namespace internal
