--- a/baobabpin/operators/ResourceBackend.h
+++ b/baobabpin/operators/ResourceBackend.h
@@ -89,7 +89,8 @@
   virtual void find(const resources::ResourceId &id,
                     std::function<void(FindReply)> callback) = 0;
   /// Writes \p value, or deletes when it is empty, provided that the stored
-  /// version equals \p expected (0: no such resource).
+  /// version equals \p expected (0: no such resource). After Written,
+  /// catalog() holds the change, so that the next change can refer to it.
   virtual void
   compareAndSwap(const resources::ResourceId &id, std::uint64_t expected,
                  const std::optional<resources::StoredValue> &value,
--- a/baobabpin/operators/ResourceService.cpp
+++ b/baobabpin/operators/ResourceService.cpp
@@ -125,8 +125,8 @@
                                           const ResourceId &id,
                                           std::uint64_t version,
                                           const ClientIdentity &client) {
-  Log->record(event, {{"resource", formatResourceId(id)},
-                      {"version", std::to_string(version)},
+  Log->record(event, {{"key", resources::storeKey(id)},
+                      {"revision", std::to_string(version)},
                       {"operator", client.CommonName}});
 }
 
@@ -149,7 +149,7 @@
     call->Reply.set_changed(reply.Changed);
     writeResource(id, reply.Version, spec, *call->Reply.mutable_resource());
     if (reply.Changed)
-      recordChange("resource_applied", id, reply.Version, call->Client);
+      recordChange("resource_accepted", id, reply.Version, call->Client);
     call->finish();
   };
   changeResource(Backend, std::move(*request), finish);
@@ -170,7 +170,7 @@
     if (reply.Error)
       writeError(*reply.Error, *call->Reply.mutable_error());
     else
-      recordChange("resource_deleted", id, reply.Version, call->Client);
+      recordChange("deletion_accepted", id, reply.Version, call->Client);
     call->finish();
   };
   changeResource(Backend, std::move(*request), finish);
--- a/baobabpin/resources/FieldReader.h
+++ b/baobabpin/resources/FieldReader.h
@@ -67,6 +67,9 @@
   /// Refuses the field \p key; only the first refusal is kept.
   void refuse(const std::string &key, std::string problem,
               std::string accepted);
+  /// Accepts the key without reading it.
+  void allow(const char *key) { Known.insert(key); }
+  /// Refuses keys that were neither read nor allowed.
   void finish();
 
 private:
