--- a/baobabpin/ctl/CtlTest.cpp
+++ b/baobabpin/ctl/CtlTest.cpp
@@ -254,6 +254,17 @@
   }
 }
 
+TEST_CASE("the examples of both deployments are accepted") {
+  Story story;
+  std::string examples = BAOBABPIN_EXAMPLES;
+  for (const char *it : {"/bukhan-grip", "/lankapura"}) {
+    CAPTURE(it);
+    CHECK(story.ctl({"apply", "-f", examples + it}) == ExitCode::Ok);
+    CHECK(story.ctl({"validate", "-f", examples + it + "/planned-stops"}) ==
+          ExitCode::Ok);
+  }
+}
+
 TEST_CASE("an operator sees what would change and what is stored") {
   Story story;
   CHECK(story.ctl({"apply", "-f", story.file("stop.json", stop(5))}) ==
