Hold a deleted group back until its deletion is in force

A group that is declared again right after its deletion could have any server list while some nodes still used the old one, which the rule of one server at a time exists to prevent. Its creation now waits for the deletion. Adds tests of the client over mutual TLS and of a watch that continues at another node, and a seeded test that the catalog does not depend on the order of arrival.

--- a/baobabpin/ctl/CtlTest.cpp
+++ b/baobabpin/ctl/CtlTest.cpp
@@ -26,13 +26,12 @@
 /// Two nodes that share one store and one loop, and a directory for files.
 class Story {
 public:
-  Story() {
+  explicit Story(OperatorSettings settings = {.Listen = "127.0.0.1:0",
+                                              .ClearText = true}) {
     fs::remove_all(Directory);
     fs::create_directories(Directory);
     for (auto &it : Nodes) {
-      it = std::make_unique<ResourceService>(
-          OperatorSettings{.Listen = "127.0.0.1:0", .ClearText = true},
-          Backend);
+      it = std::make_unique<ResourceService>(settings, Backend);
       base::handleFailure([&] { return it->start(Kernel); },
                           [](const base::Failure &e) { FAIL(e.Detail); });
       Ports.push_back(std::to_string(it->port()));
@@ -64,6 +63,9 @@
   ExitCode ctl(std::vector<std::string> words) {
     words.insert(words.begin(), "baobabpinctl");
     words.emplace_back("--clear-text");
+    return toNodes(std::move(words));
+  }
+  ExitCode toNodes(std::vector<std::string> words) {
     for (const auto &it : Ports)
       words.push_back("--server=127.0.0.1:" + it);
     return plain(words);
@@ -231,16 +233,41 @@
   }
 }
 
+TEST_CASE("operators and viewers are told apart by their certificates") {
+  std::string dir = BAOBABPIN_TEST_CERTIFICATES;
+  Story story({"127.0.0.1:0", false, dir + "/ours/ca.pem",
+               dir + "/ours/node.pem", dir + "/ours/node.key"});
+  std::string file = story.file("stop.json", stop(5));
+  auto as = [&](const std::string &who, std::vector<std::string> words) {
+    words.insert(words.begin(), "baobabpinctl");
+    words.insert(words.end(),
+                 {"--ca", dir + "/ours/ca.pem", "--cert", dir + who + ".pem",
+                  "--key", dir + who + ".key"});
+    return story.toNodes(words);
+  };
+  CHECK(as("/ours/viewer", {"apply", "-f", file}) == ExitCode::Failed);
+  CHECK(story.Err.find("permission_denied") != std::string::npos);
+  CHECK(as("/foreign/operator", {"apply", "-f", file}) ==
+        ExitCode::Unavailable);
+  CHECK(story.Backend.Writes == 0);
+  CHECK(as("/ours/operator", {"apply", "-f", file}) == ExitCode::Ok);
+  CHECK(as("/ours/viewer", {"get", "PlannedStop", "stop"}) == ExitCode::Ok);
+}
+
 TEST_CASE("an operator learns when a change is in force") {
   Story story;
   std::string file = story.file("stop.json", stop(5));
-  SUBCASE("after the last node has confirmed") {
+  SUBCASE("after the last node has confirmed, though one node goes away") {
     auto code = std::async(std::launch::async, [&] {
       return story.ctl({"apply", "-f", file, "--until-in-force"});
     });
     bool isWritten = false;
     while (!isWritten)
       story.onLoop([&] { isWritten = story.Backend.Writes == 1; });
+    bool isWatching = false;
+    while (!isWatching)
+      story.onLoop([&] { isWatching = !story.Backend.Observers->empty(); });
+    story.onLoop([&] { story.Nodes[0]->stop(); });
     story.onLoop([&] { story.Backend.confirmAll(); });
     CHECK(code.get() == ExitCode::Ok);
     CHECK(story.Out.find("version 1 in force") != std::string::npos);
--- a/baobabpin/operators/ResourceChange.cpp
+++ b/baobabpin/operators/ResourceChange.cpp
@@ -109,16 +109,21 @@
 }
 
 /// Nodes with neighbouring server lists have intersecting majorities; nodes
-/// whose lists differ by two servers do not.
+/// whose lists differ by two servers do not. A group that is declared again
+/// after its deletion may have any list, so the deletion must be in force.
 void ChangeFlow::requirePreviousInForce() {
   const auto *after =
       Request.NewSpec ? std::get_if<DatabaseGroup>(&*Request.NewSpec) : nullptr;
   const auto *before = Present && Present->ResourceSpec
                            ? std::get_if<DatabaseGroup>(&*Present->ResourceSpec)
                            : nullptr;
-  if (!after || !before || countServerChanges(*before, *after) == 0)
+  std::uint64_t previous = Backend.catalog().revisionOf(Request.Id);
+  if (Present)
+    previous = Present->Version;
+  bool isSameList = before && after && countServerChanges(*before, *after) == 0;
+  if (!after || isSameList || previous == 0)
     return write();
-  Backend.inForce(Request.Id, Present->Version,
+  Backend.inForce(Request.Id, previous,
                   [self = shared_from_this()](const ResourceStatus &status) {
                     if (status.InForce)
                       return self->write();
--- a/baobabpin/operators/ResourceChangeTest.cpp
+++ b/baobabpin/operators/ResourceChangeTest.cpp
@@ -147,6 +147,14 @@
   backend.confirmAll();
   CHECK(apply().Changed);
 
+  SUBCASE("a group that was deleted is not declared again before that") {
+    CHECK_FALSE(run(backend, {id, {}, backend.versionOf(id)}).Error);
+    group.Servers.clear();
+    addServer(9);
+    CHECK(typeOf(apply()) == ErrorType::Conflict);
+    backend.confirmAll();
+    CHECK(apply().Changed);
+  }
   SUBCASE("changes of other fields do not wait") {
     group.Slots = 3;
     CHECK(apply().Changed);
--- a/baobabpin/resources/ResourceCatalog.cpp
+++ b/baobabpin/resources/ResourceCatalog.cpp
@@ -87,6 +87,11 @@
   return it == Records.end() ? nullptr : &it->second;
 }
 
+std::uint64_t ResourceCatalog::revisionOf(const ResourceId &id) const {
+  auto it = Revisions.find(id);
+  return it == Revisions.end() ? 0 : it->second;
+}
+
 const DatabaseGroup *
 ResourceCatalog::findGroup(const base::GroupName &name) const {
   const ResourceRecord *record = find({ResourceKind::DatabaseGroup, name});
--- a/baobabpin/resources/ResourceCatalog.h
+++ b/baobabpin/resources/ResourceCatalog.h
@@ -77,6 +77,8 @@
 
   const SpecMap &records() const { return Records; }
   const ResourceRecord *find(const ResourceId &id) const;
+  /// Revision of the resource or of its deletion; 0 when never seen.
+  std::uint64_t revisionOf(const ResourceId &id) const;
   /// Of any change seen, deletions included.
   std::uint64_t highestRevision() const { return Highest; }
 
--- a/baobabpin/resources/ResourceCatalogTest.cpp
+++ b/baobabpin/resources/ResourceCatalogTest.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <random>
+
 namespace baobabpin::resources {
 namespace {
 
@@ -93,5 +96,42 @@
   }
 }
 
+TEST_CASE("all orders of arrival, with repeats, end in the same catalog") {
+  std::vector<ResourceChange> history;
+  for (std::uint64_t revision = 1; revision <= 12; ++revision) {
+    std::string key =
+        "resources/DatabaseGroup/g" + std::to_string(revision % 3);
+    std::string server = "s" + std::to_string(revision % 5);
+    std::optional<std::string> value;
+    if (revision % 4 != 0)
+      value = groupValue(server, revision % 2 ? "d" : "e");
+    history.push_back({key, revision, value});
+  }
+  auto describe = [](const ResourceCatalog &catalog) {
+    std::string text = std::to_string(catalog.highestRevision());
+    for (const char *database : {"d", "e"}) {
+      for (const auto &it : catalog.groupsOf("c", database))
+        text += std::string(" ") + database + ":" + it;
+    }
+    for (const char *server : {"s0", "s1", "s2", "s3", "s4"})
+      text += " " + catalog.groupOfServer(server).value_or("-");
+    return text;
+  };
+  ResourceCatalog inOrder;
+  for (const auto &it : history)
+    apply(inOrder, it);
+  std::mt19937 random(1);
+  for (int round = 0; round < 200; ++round) {
+    CAPTURE(round);
+    auto changes = history;
+    changes.insert(changes.end(), history.begin(), history.end());
+    std::shuffle(changes.begin(), changes.end(), random);
+    ResourceCatalog catalog;
+    for (const auto &it : changes)
+      apply(catalog, it);
+    CHECK(describe(catalog) == describe(inOrder));
+  }
+}
+
 } // namespace
 } // namespace baobabpin::resources
