--- a/standins/load/CallerSession.h
+++ b/standins/load/CallerSession.h
@@ -76,6 +76,7 @@
   void finishWrite(const AttemptEnd &end);
   void repeatWrite(const AttemptEnd &end);
   void sendBegin();
+  void onBegin(const AttemptEnd &end);
   void sendTransactionStatement();
   void rollBack();
   void takeToken(const AttemptEnd &end);
--- a/standins/load/CallerWrites.cpp
+++ b/standins/load/CallerWrites.cpp
@@ -82,18 +82,27 @@
 }
 
 void CallerSession::sendBegin() {
+  ++Attempts;
   Client.send(makeTransactionStep("/v1/transaction/begin", "begin"),
-              [this](AttemptEnd &end) {
-                if (end.Record.Outcome == "answered") {
-                  Transaction = end.Transaction;
-                  sendTransactionStatement();
-                  return;
-                }
-                countEnd(end);
-                if (end.Record.Error == "position_lost")
-                  restartSession();
-                finish();
-              });
+              [this](AttemptEnd &end) { onBegin(end); });
+}
+
+void CallerSession::onBegin(const AttemptEnd &end) {
+  if (end.Record.Outcome == "answered") {
+    Attempts = 0;
+    Transaction = end.Transaction;
+    sendTransactionStatement();
+    return;
+  }
+  if (end.Record.Error == "position_lost") {
+    restartSession();
+  } else if (Attempts < Behaviour.ReadAttempts) {
+    // A transaction that was begun without an answer ends by its idle limit.
+    retryAfterBackoff(&CallerSession::sendBegin);
+    return;
+  }
+  countEnd(end);
+  finish();
 }
 
 void CallerSession::sendTransactionStatement() {
