Choose entry nodes by their health check, like the balancer before them

A stopping node waits until callers have moved away; with callers that never looked at its health check it did not end within 15 s under 400 operations a second. The driver now polls /healthz every 500 ms.

--- a/standins/load/CallerSession.cpp
+++ b/standins/load/CallerSession.cpp
@@ -44,7 +44,8 @@
   AnswerDropped = false;
   Step = 0;
   Transaction.clear();
-  if (Draws.drawChance(Behaviour.MoveShare))
+  bool moves = Draws.drawChance(Behaviour.MoveShare);
+  if (moves || !Client.pool().isHealthy(Node))
     move();
   switch (Current->What) {
   case Shape::Write:
@@ -68,11 +69,11 @@
 }
 
 void CallerSession::move() {
-  std::size_t n = Client.pool().size();
-  if (n < 2)
+  auto others = Client.pool().nodesBut(Node);
+  if (others.empty())
     return;
   ++Counts.Moves;
-  Node = (Node + 1 + Draws.drawIndex(n - 1)) % n;
+  Node = others[Draws.drawIndex(others.size())];
 }
 
 void CallerSession::retryAfterBackoff(void (CallerSession::*step)()) {
@@ -173,10 +174,11 @@
 void CallerSession::sendParallelReads() {
   ReadsInFlight = Current->Statements.size();
   ParallelTokens.clear();
-  std::size_t first = Node;
   for (std::size_t i = 0; i < Current->Statements.size(); ++i) {
     Attempt attempt = makeStatement(i);
-    attempt.Node = (first + i) % Client.pool().size();
+    if (i > 0)
+      move();
+    attempt.Node = Node;
     Client.send(std::move(attempt),
                 [this](AttemptEnd &end) { onParallelRead(end); });
   }
--- a/standins/load/LoadDriver.cpp
+++ b/standins/load/LoadDriver.cpp
@@ -21,6 +21,7 @@
 }
 
 void LoadDriver::start() {
+  Pool.watchHealth(Options.HealthPeriod);
   NextArrival = Loop.now();
   ArrivalsEnd = NextArrival + Options.Duration;
   scheduleArrival();
--- a/standins/load/LoadDriver.h
+++ b/standins/load/LoadDriver.h
@@ -19,6 +19,8 @@
   std::chrono::milliseconds Duration{30'000};
   /// How long after the last arrival operations may still finish.
   std::chrono::milliseconds DrainLimit{30'000};
+  /// A node that is stopping gets new work for up to this long.
+  std::chrono::milliseconds HealthPeriod{500};
   CallerBehaviour Behaviour;
 };
 
--- a/standins/load/LoadDriverTest.cpp
+++ b/standins/load/LoadDriverTest.cpp
@@ -27,6 +27,9 @@
       Server.handle(path, [this](auto request, auto responder) {
         onRequest(request, responder);
       });
+    Server.handle("/healthz", [this](auto, auto responder) {
+      responder->json(Leaving ? 503 : 200, "{}");
+    });
     Where = base::handleFailure(
         [&] {
           return Server.listen({"127.0.0.1", 0});
@@ -35,12 +38,15 @@
   }
 
   http::Endpoint Where;
+  bool Leaving = false;
+  std::uint64_t Requests = 0;
   /// Request IDs of writes whose answer was withheld.
   static inline std::set<std::string> Withheld;
 
 private:
   void onRequest(const http::HttpRequest &request,
                  const http::ResponderPtr &responder) {
+    ++Requests;
     json body = json::parse(request.Body);
     std::string id = body.value("request_id", "");
     if (!id.empty() && !body.contains("repeat") && ++Writes % 10 == 0) {
@@ -133,6 +139,24 @@
   CHECK(overlaps > 0);
 }
 
+TEST_CASE("a node that is leaving") {
+  // Guards against a stop that lasts as long as callers keep coming.
+  kernel::EventLoop loop;
+  FakeNode stays(loop);
+  FakeNode leaves(loop);
+  LoadOptions options{.Seed = 5,
+                      .Nodes = {stays.Where, leaves.Where},
+                      .Sessions = 5,
+                      .Rate = 500,
+                      .Duration = 400ms,
+                      .HealthPeriod = 5ms};
+  leaves.Leaving = true;
+  CallerCounts counts;
+  auto records = runDriver(loop, options, counts);
+  CHECK(records.size() > 50);
+  CHECK(leaves.Requests < records.size() / 4);
+}
+
 TEST_CASE("a node that is down") {
   kernel::EventLoop loop;
   FakeNode up(loop);
--- a/standins/load/NodePool.cpp
+++ b/standins/load/NodePool.cpp
@@ -6,10 +6,50 @@
 
 using namespace baobabpin;
 
+namespace {
+
+constexpr std::chrono::milliseconds HealthTimeout{1000};
+constexpr int HttpOk = 200;
+
+} // namespace
+
 NodePool::NodePool(kernel::EventLoop &loop, std::vector<http::Endpoint> nodes)
     : Loop(loop) {
   for (http::Endpoint &endpoint : nodes)
-    Nodes.push_back({std::move(endpoint), {}});
+    Nodes.push_back({.Endpoint = std::move(endpoint)});
+}
+
+void NodePool::watchHealth(std::chrono::milliseconds period) {
+  for (Node &node : Nodes)
+    node.HealthCheck =
+        std::make_shared<http::HttpConnection>(Loop, node.Endpoint);
+  HealthTimer = Loop.runEvery(period, [this] {
+    for (Node &node : Nodes)
+      checkHealth(node);
+  });
+}
+
+void NodePool::checkHealth(Node &node) {
+  if (node.HealthCheck->isBusy())
+    return;
+  node.HealthCheck->get(
+      "/healthz", HealthTimeout, [&node](const http::HttpReply &reply) {
+        node.Healthy =
+            reply.Result == http::Transfer::Completed && reply.Status == HttpOk;
+      });
+}
+
+std::vector<std::size_t> NodePool::nodesBut(std::size_t current) const {
+  std::vector<std::size_t> healthy;
+  std::vector<std::size_t> all;
+  for (std::size_t i = 0; i < Nodes.size(); ++i) {
+    if (i == current)
+      continue;
+    all.push_back(i);
+    if (Nodes[i].Healthy)
+      healthy.push_back(i);
+  }
+  return healthy.empty() ? all : healthy;
 }
 
 void NodePool::post(std::size_t node, const std::string &path, std::string body,
