--- a/baobabpin/configsync/ConfigSyncService.cpp
+++ b/baobabpin/configsync/ConfigSyncService.cpp
@@ -374,6 +374,28 @@
   Impl->write({key, std::nullopt, expectedRevision}, callback);
 }
 
+void ConfigSyncService::readThrough(
+    const std::string &key, std::function<void(bool available)> callback) {
+  // A range states the store's revision even when the key does not exist.
+  Impl->Store->range(key, [this, key, callback = std::move(callback)](
+                              const platform::StoreReply &reply) {
+    if (reply.Status != platform::StoreStatus::Ok) {
+      callback(false);
+      return;
+    }
+    ConfigRecord record{key, reply.Revision, std::nullopt};
+    for (const auto &it : reply.Entries) {
+      if (it.Key == key)
+        record = {key, it.Revision, it.Value};
+    }
+    bool known = record.Value || findRecord(key);
+    if (known)
+      Impl->publish(applyRecords(Impl->Copy, {record}),
+                    Impl->Copy.CompleteRevision);
+    callback(true);
+  });
+}
+
 proto::SyncReply
 ConfigSyncService::handleSync(const proto::SyncRequest &request) const {
   return answerSync(Impl->Copy, request);
--- a/baobabpin/configsync/ConfigSyncService.h
+++ b/baobabpin/configsync/ConfigSyncService.h
@@ -68,6 +68,11 @@
   void compareAndDelete(const std::string &key, std::uint64_t expectedRevision,
                         const WriteCallback &callback);
 
+  /// Reads the key from the store and applies what it finds here before it
+  /// calls back; false when the store did not answer.
+  void readThrough(const std::string &key,
+                   std::function<void(bool available)> callback);
+
   /// For the Peer gRPC service: the difference that a peer asks for.
   proto::SyncReply handleSync(const proto::SyncRequest &request) const;
   /// For the Peer gRPC service: the members of this node's zone and whether
--- a/baobabpin/http/HttpClient.cpp
+++ b/baobabpin/http/HttpClient.cpp
@@ -6,6 +6,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -114,7 +116,13 @@
   Deadline = Loop.runAfter(timeout, [this] {
     finish({isConnected() ? Transfer::TimedOut : Transfer::NotSent, 0, {}});
   });
-  if (evhttp_make_request(Connection, Request, method, path.c_str()) != 0) {
+  if (evhttp_make_request(Connection, Request, method, path.c_str()) == 0) {
+    // The header and the body are two small writes; with Nagle's algorithm the
+    // second waits for a delayed acknowledgement, 40 to 200 ms.
+    int one = 1;
+    auto fd = bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  } else {
     Request = nullptr;
     Deadline = Loop.runAfter({}, [this] {
       finish({Transfer::NotSent, 0, {}});
--- a/baobabpin/node/NodeAssembly.cpp
+++ b/baobabpin/node/NodeAssembly.cpp
@@ -5,6 +5,9 @@
 #include "baobabpin/gateway/GatewayService.h"
 #include "baobabpin/membership/MembershipService.h"
 #include "baobabpin/node/Drain.h"
+#include "baobabpin/node/NodeBackend.h"
+#include "baobabpin/operators/ResourceService.h"
+#include "baobabpin/operators/Timeline.h"
 #include "baobabpin/owner/OwnerService.h"
 #include "baobabpin/peer/PeerService.h"
 
@@ -52,9 +55,32 @@
     return kernel.find<configsync::ConfigSyncService>("configsync")
         .handleInForce(request.revision());
   });
+  peer->setEventsHandler([&kernel](const proto::TimelineRequest &request) {
+    proto::TimelineReply reply;
+    kernel::EventStamp since{request.since_wall_us(), request.since_counter()};
+    operators::writeTimeline(
+        operators::localTimeline(kernel.log(), since, request.limit()), reply);
+    return reply;
+  });
+  peer->setDescribeHandler([&kernel](const proto::DescribeRequest &request) {
+    proto::DescribeReply reply;
+    reply.set_json(kernel.find<owner::OwnerService>("owner").describeGroup(
+        request.group()));
+    return reply;
+  });
   return peer;
 }
 
+operators::OperatorSettings operatorSettings(const NodeSettings &settings) {
+  operators::OperatorSettings it;
+  it.Listen = http::formatEndpoint(settings.Operators);
+  it.ClearText = settings.Tls.ClearText;
+  it.CaFile = settings.Tls.Authority;
+  it.CertificateFile = settings.Tls.Certificate;
+  it.KeyFile = settings.Tls.Key;
+  return it;
+}
+
 } // namespace
 
 void addServices(kernel::Kernel &kernel, const NodeSettings &settings) {
@@ -71,6 +97,11 @@
   kernel.add(std::make_unique<gateway::GatewayService>(
       gateway::GatewaySettings{settings.Callers, settings.SessionKeys, seed}));
   kernel.add(std::make_unique<DrainService>(settings.StopDeadline));
+  auto backend = std::make_unique<NodeBackend>();
+  NodeBackend &resourceBackend = *backend;
+  kernel.add(std::move(backend));
+  kernel.add(std::make_unique<operators::ResourceService>(
+      operatorSettings(settings), resourceBackend));
 }
 
 } // namespace baobabpin::node
--- a/baobabpin/owner/GroupRunner.h
+++ b/baobabpin/owner/GroupRunner.h
@@ -174,6 +174,7 @@
   bool HandoverRequested = false;
   base::TimePoint LastHandoverAttempt;
   base::TimePoint LastWork;
+  base::TimePoint LastProofRound;
 
   admission::RequestQueue Queue;
   admission::RetryBudget Budget;
--- a/baobabpin/owner/ServerLink.cpp
+++ b/baobabpin/owner/ServerLink.cpp
@@ -105,7 +105,8 @@
 
 void ServerLink::status(const upstream::StatusRequest &request,
                         base::Duration timeout, LinkCallback callback) {
-  Status.disconnect();
+  if (Status.isBusy())
+    Status.disconnect();
   auto sentAt = base::Clock::now();
   Status.call(request, timeout,
               [callback = std::move(callback), sentAt](Answer answer) {
--- a/baobabpin/owner/ServerLink.h
+++ b/baobabpin/owner/ServerLink.h
@@ -85,7 +85,8 @@
   template <typename Request>
   void control(const Request &request, base::Duration timeout,
                LinkCallback callback) {
-    Control.disconnect();
+    if (Control.isBusy())
+      Control.disconnect();
     auto sentAt = base::Clock::now();
     Control.call(
         request, timeout,
--- a/baobabpin/owner/WritePath.cpp
+++ b/baobabpin/owner/WritePath.cpp
@@ -18,6 +18,8 @@
 /// Pause before a statement is offered again, while the primary changes.
 constexpr auto RetryPause = 10ms;
 constexpr auto ConnectionPause = 50ms;
+/// Bounds the status requests while no majority answers.
+constexpr auto ProofRoundGap = 1ms;
 
 } // namespace
 
@@ -195,6 +197,16 @@
   std::erase_if(waiting,
                 [&](const PendingPtr &it) { return settleOne(it, now); });
   Awaiting.insert(Awaiting.begin(), waiting.begin(), waiting.end());
+  // Proofs of a term or an age need answers to requests sent after the
+  // statement ran; the exchange that was outstanding then does not count.
+  bool needsRound =
+      std::any_of(Awaiting.begin(), Awaiting.end(), [](const PendingPtr &it) {
+        return it->Proof == ProofKind::Term || it->Proof == ProofKind::Age;
+      });
+  if (needsRound && now - LastProofRound >= ProofRoundGap) {
+    LastProofRound = now;
+    perform(replication::requestStatusRound(State, now));
+  }
   reportWritesInFlight();
 }
 
--- a/baobabpin/peer/ForwardServer.cpp
+++ b/baobabpin/peer/ForwardServer.cpp
@@ -100,51 +100,49 @@
   grpc::ServerAsyncResponseWriter<Reply> Writer{&Context};
 };
 
-} // namespace
-
-void acceptForward(proto::Peer::AsyncService &service,
-                   grpc::ServerCompletionQueue &queue,
-                   kernel::CompletionPump &pump, const PeerHandlers &handlers) {
-  auto stream = std::make_shared<ServerStream>(pump, handlers);
-  service.RequestForward(&stream->Context, &stream->Stream, &queue, &queue,
-                         pump.tag([&, stream](bool ok) {
-                           if (!ok)
-                             return;
-                           acceptForward(service, queue, pump, handlers);
-                           stream->readNext();
-                         }));
+void acceptForward(const ServerParts &parts, const PeerHandlers &handlers) {
+  auto stream = std::make_shared<ServerStream>(parts.Pump, handlers);
+  parts.Service.RequestForward(
+      &stream->Context, &stream->Stream, &parts.Queue, &parts.Queue,
+      parts.Pump.tag([parts, &handlers, stream](bool ok) {
+        if (!ok)
+          return;
+        acceptForward(parts, handlers);
+        stream->readNext();
+      }));
 }
 
-void acceptSync(proto::Peer::AsyncService &service,
-                grpc::ServerCompletionQueue &queue,
-                kernel::CompletionPump &pump, const PeerHandlers &handlers) {
-  using Call = UnaryCall<proto::SyncRequest, proto::SyncReply>;
-  auto call = std::make_shared<Call>();
-  service.RequestSync(&call->Context, &call->Incoming, &call->Writer, &queue,
-                      &queue, pump.tag([&, call](bool ok) {
-                        if (!ok)
-                          return;
-                        acceptSync(service, queue, pump, handlers);
-                        call->Writer.Finish(handlers.Sync(call->Incoming),
-                                            grpc::Status::OK,
-                                            pump.tag([call](bool) {}));
-                      }));
+/// Accepts calls of one unary method, one after the other, and answers each
+/// with what the handler returns.
+template <typename Request, typename Reply, typename RequestMethod,
+          typename Handler>
+void acceptUnary(const ServerParts &parts, RequestMethod method,
+                 const Handler &handler) {
+  auto call = std::make_shared<UnaryCall<Request, Reply>>();
+  (parts.Service.*method)(
+      &call->Context, &call->Incoming, &call->Writer, &parts.Queue,
+      &parts.Queue, parts.Pump.tag([parts, method, &handler, call](bool ok) {
+        if (!ok)
+          return;
+        acceptUnary<Request, Reply>(parts, method, handler);
+        call->Writer.Finish(handler(call->Incoming), grpc::Status::OK,
+                            parts.Pump.tag([call](bool) {}));
+      }));
 }
 
-void acceptInForce(proto::Peer::AsyncService &service,
-                   grpc::ServerCompletionQueue &queue,
-                   kernel::CompletionPump &pump, const PeerHandlers &handlers) {
-  using Call = UnaryCall<proto::InForceRequest, proto::InForceReply>;
-  auto call = std::make_shared<Call>();
-  service.RequestInForce(&call->Context, &call->Incoming, &call->Writer, &queue,
-                         &queue, pump.tag([&, call](bool ok) {
-                           if (!ok)
-                             return;
-                           acceptInForce(service, queue, pump, handlers);
-                           call->Writer.Finish(handlers.InForce(call->Incoming),
-                                               grpc::Status::OK,
-                                               pump.tag([call](bool) {}));
-                         }));
+} // namespace
+
+void acceptCalls(const ServerParts &parts, const PeerHandlers &handlers) {
+  using Service = proto::Peer::AsyncService;
+  acceptForward(parts, handlers);
+  acceptUnary<proto::SyncRequest, proto::SyncReply>(
+      parts, &Service::RequestSync, handlers.Sync);
+  acceptUnary<proto::InForceRequest, proto::InForceReply>(
+      parts, &Service::RequestInForce, handlers.InForce);
+  acceptUnary<proto::TimelineRequest, proto::TimelineReply>(
+      parts, &Service::RequestEvents, handlers.Events);
+  acceptUnary<proto::DescribeRequest, proto::DescribeReply>(
+      parts, &Service::RequestDescribe, handlers.Describe);
 }
 
 } // namespace baobabpin::peer::internal
--- a/baobabpin/peer/ForwardServer.h
+++ b/baobabpin/peer/ForwardServer.h
@@ -13,17 +13,18 @@
   ForwardHandler Forward;
   SyncHandler Sync;
   InForceHandler InForce;
+  EventsHandler Events;
+  DescribeHandler Describe;
 };
 
-/// Accepts the next call of each method, for as long as the server runs.
-void acceptForward(proto::Peer::AsyncService &service,
-                   grpc::ServerCompletionQueue &queue,
-                   kernel::CompletionPump &pump, const PeerHandlers &handlers);
-void acceptSync(proto::Peer::AsyncService &service,
-                grpc::ServerCompletionQueue &queue,
-                kernel::CompletionPump &pump, const PeerHandlers &handlers);
-void acceptInForce(proto::Peer::AsyncService &service,
-                   grpc::ServerCompletionQueue &queue,
-                   kernel::CompletionPump &pump, const PeerHandlers &handlers);
+/// What accepting a call needs; all outlive the server.
+struct ServerParts {
+  proto::Peer::AsyncService &Service;
+  grpc::ServerCompletionQueue &Queue;
+  kernel::CompletionPump &Pump;
+};
+
+/// Accepts calls of every method, for as long as the server runs.
+void acceptCalls(const ServerParts &parts, const PeerHandlers &handlers);
 
 } // namespace baobabpin::peer::internal
--- a/baobabpin/peer/PeerService.cpp
+++ b/baobabpin/peer/PeerService.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr auto SilenceCheckPeriod = 25ms;
+constexpr auto CallTimeout = 1s;
 constexpr int FirstReconnectMs = 20;
 constexpr int LongestReconnectMs = 500;
 
@@ -30,6 +31,13 @@
                                    arguments);
 }
 
+template <typename Reply> struct UnaryCall {
+  grpc::ClientContext Context;
+  grpc::Status Status;
+  Reply Answer;
+  std::unique_ptr<grpc::ClientAsyncResponseReader<Reply>> Reader;
+};
+
 struct Link {
   std::shared_ptr<grpc::Channel> Channel;
   std::shared_ptr<ForwardStream> Stream;
@@ -52,15 +60,38 @@
   kernel::Timer SilenceTimer;
 
   ForwardStream &streamTo(const std::string &endpoint);
+  std::shared_ptr<grpc::Channel> channelTo(const std::string &endpoint);
   void checkSilence();
+
+  template <typename Reply, typename Start, typename Callback>
+  void call(const std::string &endpoint, Start start, Callback callback) {
+    auto it = std::make_shared<UnaryCall<Reply>>();
+    it->Context.set_deadline(std::chrono::system_clock::now() + CallTimeout);
+    auto stub = proto::Peer::NewStub(channelTo(endpoint));
+    it->Reader = start(*stub, it->Context, Pump->queue());
+    it->Reader->Finish(&it->Answer, &it->Status,
+                       Pump->tag([it, callback](bool) {
+                         if (it->Status.ok())
+                           callback(std::move(it->Answer));
+                         else
+                           callback(std::nullopt);
+                       }));
+  }
 };
 
-ForwardStream &PeerService::State::streamTo(const std::string &endpoint) {
+std::shared_ptr<grpc::Channel>
+PeerService::State::channelTo(const std::string &endpoint) {
   Link &link = Links[endpoint];
   if (!link.Channel)
     link.Channel = makeChannel(endpoint);
+  return link.Channel;
+}
+
+ForwardStream &PeerService::State::streamTo(const std::string &endpoint) {
+  auto channel = channelTo(endpoint);
+  Link &link = Links[endpoint];
   if (!link.Stream || link.Stream->hasFailed()) {
-    link.Stream = std::make_shared<ForwardStream>(*Pump, link.Channel);
+    link.Stream = std::make_shared<ForwardStream>(*Pump, channel);
     link.Stream->open();
   }
   return *link.Stream;
@@ -101,12 +132,8 @@
                           http::formatEndpoint(Impl->Settings.Listen));
   Impl->Settings.Listen.Port = static_cast<std::uint16_t>(port);
   Impl->Pump.emplace(kernel.loop(), std::move(queue));
-  internal::acceptForward(Impl->Service, *Impl->Queue, *Impl->Pump,
-                          Impl->Handlers);
-  internal::acceptSync(Impl->Service, *Impl->Queue, *Impl->Pump,
-                       Impl->Handlers);
-  internal::acceptInForce(Impl->Service, *Impl->Queue, *Impl->Pump,
-                          Impl->Handlers);
+  internal::acceptCalls({Impl->Service, *Impl->Queue, *Impl->Pump},
+                        Impl->Handlers);
   Impl->SilenceTimer = Impl->Loop->runEvery(SilenceCheckPeriod,
                                             [this] { Impl->checkSilence(); });
   return {};
@@ -145,6 +172,36 @@
   Impl->Silent = std::move(callback);
 }
 
+void PeerService::setEventsHandler(EventsHandler handler) {
+  Impl->Handlers.Events = std::move(handler);
+}
+
+void PeerService::setDescribeHandler(DescribeHandler handler) {
+  Impl->Handlers.Describe = std::move(handler);
+}
+
+void PeerService::fetchEvents(const std::string &endpoint,
+                              const proto::TimelineRequest &request,
+                              EventsCallback callback) {
+  Impl->call<proto::TimelineReply>(
+      endpoint,
+      [&](auto &stub, auto &context, auto &queue) {
+        return stub.AsyncEvents(&context, request, &queue);
+      },
+      std::move(callback));
+}
+
+void PeerService::describeGroup(const std::string &endpoint,
+                                const proto::DescribeRequest &request,
+                                DescribeCallback callback) {
+  Impl->call<proto::DescribeReply>(
+      endpoint,
+      [&](auto &stub, auto &context, auto &queue) {
+        return stub.AsyncDescribe(&context, request, &queue);
+      },
+      std::move(callback));
+}
+
 void PeerService::forward(const std::string &endpoint,
                           proto::ForwardRequest request,
                           ForwardCallback callback) {
--- a/baobabpin/peer/PeerService.h
+++ b/baobabpin/peer/PeerService.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace baobabpin::peer {
@@ -38,6 +39,15 @@
 using InForceHandler =
     std::function<proto::InForceReply(const proto::InForceRequest &)>;
 
+using EventsHandler =
+    std::function<proto::TimelineReply(const proto::TimelineRequest &)>;
+using DescribeHandler =
+    std::function<proto::DescribeReply(const proto::DescribeRequest &)>;
+/// Empty when the call failed or got no answer within a second.
+using EventsCallback = std::function<void(std::optional<proto::TimelineReply>)>;
+using DescribeCallback =
+    std::function<void(std::optional<proto::DescribeReply>)>;
+
 struct PeerSettings {
   http::Endpoint Listen;
   /// A stream with requests outstanding and nothing received for this long is
@@ -62,6 +72,8 @@
   void setForwardHandler(ForwardHandler handler);
   void setSyncHandler(SyncHandler handler);
   void setInForceHandler(InForceHandler handler);
+  void setEventsHandler(EventsHandler handler);
+  void setDescribeHandler(DescribeHandler handler);
   /// Called with the endpoint of a stream that was given up as silent.
   void onSilent(std::function<void(const std::string &endpoint)> callback);
 
@@ -70,6 +82,15 @@
   void forward(const std::string &endpoint, proto::ForwardRequest request,
                ForwardCallback callback);
 
+  /// Events that another node recorded.
+  void fetchEvents(const std::string &endpoint,
+                   const proto::TimelineRequest &request,
+                   EventsCallback callback);
+  /// The state of a group on the node that runs it.
+  void describeGroup(const std::string &endpoint,
+                     const proto::DescribeRequest &request,
+                     DescribeCallback callback);
+
 private:
   struct State;
   std::unique_ptr<State> Impl;
