--- a/baobabpin/owner/ReplicationDriver.cpp
+++ b/baobabpin/owner/ReplicationDriver.cpp
@@ -68,10 +68,14 @@
   request.WaitIndex = action.WaitPosition.Index;
   request.Wait =
       std::chrono::duration_cast<std::chrono::milliseconds>(action.Wait);
+  // The decisions match an answer to the outstanding exchange by the send time
+  // that they recorded; any other time leaves the exchange open.
+  const auto *server = replication::findServer(State, action.Server);
+  base::TimePoint sentAt = server->StatusSentAt.value_or(Loop.now());
   Links.at(action.Server)
       ->status(request, action.Timeout,
-               [this, server = action.Server](const Answer &answer,
-                                              base::TimePoint sentAt) {
+               [this, server = action.Server, sentAt](const Answer &answer,
+                                                      base::TimePoint) {
                  if (answer.Outcome == CallOutcome::Ok)
                    perform(replication::onReport(State,
                                                  toReport(server, answer),
