Repeat the host list's hint until the host is leaving

The hint that a host is leaving goes to its node by UDP and was sent once, when the list changed; a lost datagram lost the hint. The host list now reports leaving hosts with every poll, and the datagram is sent as long as the member is not leaving itself.

--- a/baobabpin/membership/MembershipService.cpp
+++ b/baobabpin/membership/MembershipService.cpp
@@ -345,12 +345,15 @@
 }
 
 void MembershipService::sendHostLeaving(const std::string &host) {
-  if (Impl->List.Self.Host == host && Impl->HostLeavingSink)
+  const MemberRecord &self = Impl->List.Self;
+  if (self.Host == host && self.State == MemberState::Alive &&
+      Impl->HostLeavingSink)
     Impl->HostLeavingSink();
   for (const auto &[node, entry] : Impl->List.Members) {
-    if (entry.Record.Host != host)
+    const MemberRecord &record = entry.Record;
+    if (record.Host != host || record.State != MemberState::Alive)
       continue;
-    Impl->send({entry.Record.GossipEndpoint,
+    Impl->send({record.GossipEndpoint,
                 makeDatagram(Impl->List, proto::Datagram::HOST_LEAVING)});
   }
 }
--- a/baobabpin/membership/MembershipService.h
+++ b/baobabpin/membership/MembershipService.h
@@ -82,7 +82,8 @@
   /// Called when a node reports the revision that it applied.
   void onAppliedRevision(
       std::function<void(const base::NodeId &, std::uint64_t)> callback);
-  /// Tells all members on \p host that the platform's list has it leaving.
+  /// Tells members on \p host, unless they are leaving already, that the
+  /// platform's list has their host leaving.
   void sendHostLeaving(const std::string &host);
   /// Called when a peer says that this node's host is leaving.
   void onHostLeaving(std::function<void()> callback);
--- a/baobabpin/platform/HostList.cpp
+++ b/baobabpin/platform/HostList.cpp
@@ -2,20 +2,6 @@
 
 namespace baobabpin::platform {
 
-std::vector<std::string>
-newlyLeaving(const std::map<std::string, HostState> &before,
-             const std::vector<HostEntry> &after) {
-  std::vector<std::string> leaving;
-  for (const auto &it : after) {
-    if (it.State != HostState::Leaving)
-      continue;
-    auto known = before.find(it.Host);
-    if (known == before.end() || known->second != HostState::Leaving)
-      leaving.push_back(it.Host);
-  }
-  return leaving;
-}
-
 struct HostList::State : std::enable_shared_from_this<HostList::State> {
   State(kernel::EventLoop &loop, StoreClient &store,
         std::chrono::milliseconds period,
@@ -50,13 +36,14 @@
       return;
     }
     reset(Delay);
-    std::vector<std::string> leaving = newlyLeaving(Hosts, reply.Hosts);
     Hosts.clear();
     for (const auto &it : reply.Hosts)
       Hosts[it.Host] = it.State;
     Next = Loop.runAfter(Period, [this] { poll(); });
-    for (const auto &it : leaving)
-      OnLeaving(it);
+    for (const auto &it : reply.Hosts) {
+      if (it.State == HostState::Leaving)
+        OnLeaving(it.Host);
+    }
   }
 };
 
--- a/baobabpin/platform/HostList.h
+++ b/baobabpin/platform/HostList.h
@@ -12,14 +12,10 @@
 
 namespace baobabpin::platform {
 
-/// Hosts that turned from live or unknown to leaving.
-std::vector<std::string>
-newlyLeaving(const std::map<std::string, HostState> &before,
-             const std::vector<HostEntry> &after);
-
 class HostList {
 public:
-  /// \p onLeaving is called once for each host that turns to leaving.
+  /// \p onLeaving is called for each leaving host in every list received, so
+  /// that a hint lost on its way to the host is repeated.
   HostList(kernel::EventLoop &loop, StoreClient &store,
            std::chrono::milliseconds period,
            std::function<void(const std::string &host)> onLeaving,
