--- a/baobabpin/soak/Main.cpp
+++ b/baobabpin/soak/Main.cpp
@@ -93,7 +93,7 @@
       continue;
     ++violations;
     std::cout << "violation seed=" << options.Seed << " " << result.Violation
-              << "\n";
+              << std::endl;
     if (keepGoing)
       continue;
     printTrace(options);
