Disturb the deployment before the failures of a measurement

Pauses of nodes, lagging replicas and store outages must not cause promotions; scripts/measure now causes twelve of them before the first cut.

--- a/scripts/lib/half.py
+++ b/scripts/lib/half.py
@@ -13,17 +13,20 @@
 import checking
 from cluster import Cluster, reserve_network
 from deployments import DEPLOYMENTS, Layout
+from disturbances import LONGEST_S, run_disturbances
 from failures import longest_duration_s, run_failures
 
 DRAIN_LIMIT_S = 40
 SPACING_S = 4.0
 
 
-def measure(cluster, failures, sessions, rate):
+def measure(cluster, options):
     cluster.start()
-    limit_s = longest_duration_s(failures, SPACING_S)
-    cluster.start_load(limit_s + 2, sessions, rate)
-    run_failures(cluster, failures, SPACING_S)
+    limit_s = (options.disturbances * LONGEST_S +
+               longest_duration_s(options.failures, SPACING_S))
+    cluster.start_load(limit_s + 5, options.sessions, options.rate)
+    run_disturbances(cluster, options.disturbances)
+    run_failures(cluster, options.failures, SPACING_S)
     cluster.processes.request_stop("load")
     cluster.wait_load(DRAIN_LIMIT_S)
     cluster.wait_converged()
@@ -36,6 +39,7 @@
     parser.add_argument("--deployment", choices=DEPLOYMENTS, required=True)
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--failures", type=int, required=True)
+    parser.add_argument("--disturbances", type=int, default=12)
     parser.add_argument("--sessions", type=int, default=200)
     parser.add_argument("--rate", type=float, default=400)
     parser.add_argument("--baseline", action="store_true")
@@ -52,8 +56,7 @@
     cluster = Cluster(layout, options.folder, options.binaries, options.seed,
                       options.baseline)
     try:
-        counts = measure(cluster, options.failures, options.sessions,
-                         options.rate)
+        counts = measure(cluster, options)
     finally:
         cluster.stop()
         lock.close()
--- a/scripts/lib/measure.py
+++ b/scripts/lib/measure.py
@@ -11,7 +11,9 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
-HALF_LIMIT_S = 230
+# A half with the default of 20 failures takes less than two minutes.
+HALF_BASE_LIMIT_S = 130
+FAILURE_LIMIT_S = 5
 # Not part of the key=value output.
 LISTS = ("failover_gaps_us", "examples")
 
@@ -20,7 +22,8 @@
     arguments = [
         sys.executable, os.path.join(ROOT, "scripts/lib/half.py"),
         "--deployment", options.deployment, "--seed", options.seed,
-        "--failures", options.failures, "--sessions", options.sessions,
+        "--failures", options.failures,
+        "--disturbances", options.disturbances, "--sessions", options.sessions,
         "--rate", options.rate, "--folder", folder,
         "--binaries", os.path.join(ROOT, "build/bin")]
     return arguments + (["--baseline"] if is_baseline else [])
@@ -35,14 +38,15 @@
         processes.start(name, half_arguments(options, half,
                                              name == "baseline"))
         if options.sequential:
-            finish(processes, name)
+            finish(options, processes, name)
     if not options.sequential:
         for name in names:
-            finish(processes, name)
+            finish(options, processes, name)
 
 
-def finish(processes, name):
-    status = processes.wait(name, HALF_LIMIT_S)
+def finish(options, processes, name):
+    limit_s = HALF_BASE_LIMIT_S + options.failures * FAILURE_LIMIT_S
+    status = processes.wait(name, limit_s)
     if status != 0:
         raise ProcessError(f"the {name} half ended with {status}: "
                            f"{processes.tail(name)}")
@@ -61,6 +65,9 @@
     parser.add_argument("--deployment", choices=DEPLOYMENTS, required=True)
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--failures", type=int, default=20)
+    parser.add_argument("--disturbances", type=int, default=12,
+                        help="pauses of nodes, lags of replicas and store "
+                             "outages before the first failure")
     parser.add_argument("--sessions", type=int, default=200)
     parser.add_argument("--rate", type=float, default=400)
     parser.add_argument("--sequential", action="store_true",
