--- a/baobabpin/soak/OwnerNode.cpp
+++ b/baobabpin/soak/OwnerNode.cpp
@@ -115,22 +115,6 @@
        [serve] { serve(nullptr); });
 }
 
-/// Whether the server runs and a majority of the servers can reach it.
-bool isHealthy(const NodeContext &context, const FakeServer &server) {
-  const auto *primary = &server;
-  if (!primary->Proc.Alive || primary->Proc.Paused)
-    return false;
-  const auto &cuts = context.Sim->Network.Cuts;
-  std::size_t reachable = 0;
-  for (const auto &it : context.Fleet->Servers) {
-    bool cut = cuts.contains({it.Proc.Index, primary->Proc.Index}) ||
-               cuts.contains({primary->Proc.Index, it.Proc.Index});
-    if (it.Proc.Alive && !it.Proc.Paused && !cut)
-      ++reachable;
-  }
-  return reachable > context.Fleet->Servers.size() / 2;
-}
-
 void notePromotion(NodeContext &context, OwnerNode &node,
                    const replication::PromotionStarted &event) {
   ++context.Counters.Promotions[static_cast<std::size_t>(event.Reason)];
@@ -548,14 +532,6 @@
 
 } // namespace
 
-void watchHealth(NodeContext &context) {
-  for (const auto &it : context.Fleet->Servers) {
-    if (!isHealthy(context, it))
-      context.UnhealthyAt[it.Proc.Name] = context.Sim->Now;
-  }
-  schedule(*context.Sim, TickInterval, [&context] { watchHealth(context); });
-}
-
 TimePoint nodeTime(const Simulation &sim, const OwnerNode &node) {
   auto since = std::chrono::duration<double, Duration::period>(
       sim.Now.time_since_epoch());
