--- a/standins/load/CallerSession.h
+++ b/standins/load/CallerSession.h
@@ -26,7 +26,7 @@
   std::chrono::milliseconds FirstBackoff{50};
   std::chrono::milliseconds LastBackoff{800};
   unsigned ReadAttempts = 3;
-  unsigned WriteAttempts = 30; ///< About 22 s of repeats with these back-offs.
+  unsigned WriteAttempts = 30; ///< The drain limit may end them earlier.
 };
 
 /// Counts over all sessions, for the driver's own summary.
