Dispatch waiting reads when a slot frees, and resolve lost commits

Change: such reads are dispatched when an answer frees a slot, and the queue hands out reads only while a replica has one; a repeated commit asks the primary by the server's transaction ID and its answer counts once a majority confirms the term; descriptor changes of one loop iteration share a system call.

--- a/baobabpin/kernel/EventLoop.cpp
+++ b/baobabpin/kernel/EventLoop.cpp
@@ -106,6 +106,8 @@
   evthread_use_pthreads();
   event_config *config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  // Several changes of one descriptor in an iteration become one system call.
+  event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
   Impl->Base = event_base_new_with_config(config);
   event_config_free(config);
   Impl->WakeupFd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
--- a/baobabpin/owner/GroupRunner.cpp
+++ b/baobabpin/owner/GroupRunner.cpp
@@ -83,6 +83,7 @@
 GroupRunner::~GroupRunner() {
   std::vector<PendingPtr> left(Awaiting);
   left.insert(left.end(), Parked.begin(), Parked.end());
+  left.insert(left.end(), SlotWaiters.begin(), SlotWaiters.end());
   for (const auto &[id, it] : Queued)
     left.push_back(it);
   for (const auto &it : left) {
@@ -145,6 +146,7 @@
   }
   do {
     PumpAgain = false;
+    dispatchSlotWaiters();
     while (Queue.Size > 0) {
       auto now = Loop.now();
       admission::OpenLanes open;
@@ -154,9 +156,7 @@
         perform(replication::requestStatusRound(State, now));
       open.Primary =
           primary && !block && Links.at(primary->Primary)->hasFreeSlot();
-      open.Replica =
-          std::any_of(Links.begin(), Links.end(),
-                      [](const auto &it) { return it.second->hasFreeSlot(); });
+      open.Replica = hasReplicaSlot();
       auto next = admission::dequeue(Queue, open);
       if (!next)
         break;
@@ -211,6 +211,12 @@
     refuse(entry.mapped(), ErrorType::DeadlineExceeded,
            "timed out in the queue");
   }
+  std::erase_if(SlotWaiters, [&](const PendingPtr &it) {
+    if (it->Deadline > now)
+      return false;
+    refuse(it, ErrorType::DeadlineExceeded, "timed out in the queue");
+    return true;
+  });
   std::vector<PendingPtr> late;
   std::erase_if(Awaiting, [&](const PendingPtr &it) {
     if (it->Deadline > now)
@@ -319,8 +325,8 @@
 }
 
 std::size_t GroupRunner::inFlight() const {
-  return Queued.size() + Parked.size() + Awaiting.size() + Sent +
-         Transactions.size();
+  return Queued.size() + Parked.size() + SlotWaiters.size() + Awaiting.size() +
+         Sent + Transactions.size();
 }
 
 } // namespace baobabpin::owner
--- a/baobabpin/owner/GroupRunner.h
+++ b/baobabpin/owner/GroupRunner.h
@@ -109,6 +109,8 @@
 
   // ReadPath.cpp
   void dispatchRead(const PendingPtr &pending);
+  void dispatchSlotWaiters();
+  bool hasReplicaSlot() const;
   bool sendToReplica(const PendingPtr &pending, bool slightlyBehind);
   void sendRead(const PendingPtr &pending, const base::ServerId &server,
                 base::LogPosition guard, base::Duration wait);
@@ -137,6 +139,9 @@
   void endTransaction(const PendingPtr &pending, Transaction &transaction);
   void closeTransaction(const std::string &id, bool discard);
   void repeatCommit(const PendingPtr &pending);
+  void concludeLostCommit(const PendingPtr &pending,
+                          const base::ServerId &server, base::TermNumber term,
+                          upstream::Answer answer);
   void boundTransactions(base::TimePoint now);
 
   // ReplicationDriver.cpp
@@ -182,6 +187,8 @@
   std::unordered_map<std::uint64_t, PendingPtr> Queued;
   /// Waiting for a moment or for an input before they are dispatched again.
   std::deque<PendingPtr> Parked;
+  /// Reads whose qualified replicas have no free slot.
+  std::deque<PendingPtr> SlotWaiters;
   /// Ran; waiting for the proof that allows the answer.
   std::vector<PendingPtr> Awaiting;
   std::map<std::string, Transaction> Transactions;
--- a/baobabpin/owner/ReadPath.cpp
+++ b/baobabpin/owner/ReadPath.cpp
@@ -3,6 +3,8 @@
 #include "baobabpin/replication/Confirmation.h"
 #include "baobabpin/replication/Freshness.h"
 
+#include <utility>
+
 namespace baobabpin::owner {
 
 using base::ErrorType;
@@ -17,9 +19,6 @@
 constexpr auto CatchUpWait = 20ms;
 /// A status round takes one round trip between zones.
 constexpr auto RoundWait = 5ms;
-/// Retry of a read whose qualified replicas have no free slot; answers that
-/// free a slot also trigger it.
-constexpr auto BusyWait = 1ms;
 
 } // namespace
 
@@ -72,10 +71,38 @@
   // Half of the time limit is left for the primary.
   if (now - pending->ArrivedAt > (pending->Deadline - pending->ArrivedAt) / 2)
     return false;
-  park(pending, BusyWait);
+  SlotWaiters.push_back(pending);
   return true;
 }
 
+bool GroupRunner::hasReplicaSlot() const {
+  auto now = Loop.now();
+  auto primary = replication::currentPrimary(State);
+  bool anyReachable = false;
+  for (const auto &[id, link] : Links) {
+    if ((primary && primary->Primary == id) || Stopped.contains(id))
+      continue;
+    if (!replication::isReachable(State, *replication::findServer(State, id),
+                                  now))
+      continue;
+    if (link->hasFreeSlot())
+      return true;
+    anyReachable = true;
+  }
+  // Without replicas reads are dispatched all the same, to the primary.
+  return !anyReachable;
+}
+
+void GroupRunner::dispatchSlotWaiters() {
+  auto waiters = std::exchange(SlotWaiters, {});
+  for (const auto &it : waiters) {
+    if (hasReplicaSlot())
+      dispatchRead(it);
+    else
+      SlotWaiters.push_back(it);
+  }
+}
+
 void GroupRunner::dispatchRead(const PendingPtr &pending) {
   if (sendToReplica(pending, false) || sendToReplica(pending, true))
     return;
--- a/baobabpin/owner/TransactionPath.cpp
+++ b/baobabpin/owner/TransactionPath.cpp
@@ -15,9 +15,9 @@
 /// A client that went away must not hold one of the few slots.
 constexpr auto IdleLimit = 5s;
 constexpr auto TotalLimit = 30s;
-/// The server ends a transaction without statements after 5 s. Past this, a
-/// commit that is still on its way can no longer succeed.
-constexpr auto CommitSettleTime = 5500ms;
+/// Between the server's part of a transaction ID and the rest.
+constexpr char IdSeparator = '|';
+constexpr auto OpenElsewherePause = 500ms;
 
 } // namespace
 
@@ -66,13 +66,20 @@
       *transaction.Slot, upstream::BeginRequest{primary->Term},
       pending->Deadline - Loop.now(),
       [this, pending, id](const Answer &answer, base::TimePoint) {
-        auto &it = Transactions.at(id);
-        it.Busy = false;
+        auto node = Transactions.extract(id);
+        Transaction &begun = node.mapped();
+        begun.Busy = false;
+        if (answer.Outcome == CallOutcome::Ok) {
+          // With the server's ID any later owner can ask what became of it.
+          begun.ServerTransaction = answer.Transaction;
+          begun.Id += IdSeparator + answer.Transaction;
+          node.key() = begun.Id;
+        }
+        auto &it = Transactions.insert(std::move(node)).position->second;
         if (answer.Outcome == CallOutcome::Ok) {
-          it.ServerTransaction = answer.Transaction;
           proto::ForwardReply reply;
           reply.set_outcome(std::string(base::outcomeName(Outcome::Answered)));
-          reply.set_transaction(id);
+          reply.set_transaction(it.Id);
           reply.set_server(it.Server);
           reply.set_role("primary");
           reply.set_age_ms(-1);
@@ -164,10 +171,11 @@
 
 void GroupRunner::repeatCommit(const PendingPtr &pending) {
   auto primary = replication::currentPrimary(State);
+  const auto &id = pending->Request.transaction();
   upstream::EndRequest call;
   call.Commit = true;
   call.Term = primary->Term;
-  call.Transaction = pending->Request.transaction();
+  call.Transaction = id.substr(id.rfind(IdSeparator) + 1);
   call.Request = pending->Request.request_id();
   ++Sent;
   Links.at(primary->Primary)
@@ -175,22 +183,33 @@
              [this, pending, server = primary->Primary,
               term = primary->Term](Answer answer, base::TimePoint sentAt) {
                --Sent;
-               bool isGone = answer.Outcome == CallOutcome::Refused &&
-                             answer.Error == ErrorType::UnknownTransaction;
-               if (!isGone) {
+               bool refused = answer.Outcome == CallOutcome::Refused;
+               if (refused && answer.Error == ErrorType::UnknownTransaction)
+                 concludeLostCommit(pending, server, term, std::move(answer));
+               else if (refused && answer.Error == ErrorType::BadRequest)
+                 park(pending, OpenElsewherePause);
+               else
                  onPrimaryAnswer(pending, server, term, std::move(answer),
                                  sentAt);
-               } else if (Loop.now() - pending->ArrivedAt >= CommitSettleTime) {
-                 pending->KnownNotRun = true;
-                 refuse(pending, ErrorType::TransactionLost,
-                        "the transaction was rolled back");
-               } else {
-                 park(pending, 500ms);
-               }
                pump();
              });
 }
 
+void GroupRunner::concludeLostCommit(const PendingPtr &pending,
+                                     const base::ServerId &server,
+                                     base::TermNumber term, Answer answer) {
+  // A commit that survived has its record on every later primary, and one that
+  // did not can no longer happen: its transaction is gone. Only the word of a
+  // primary that a majority confirms counts.
+  pending->Answer = std::move(answer);
+  pending->AnsweredBy = server;
+  pending->AnswerTerm = term;
+  pending->ProofSince = Loop.now();
+  pending->Proof = ProofKind::Term;
+  Awaiting.push_back(pending);
+  perform(replication::requestStatusRound(State, Loop.now()));
+}
+
 void GroupRunner::boundTransactions(base::TimePoint now) {
   std::vector<std::string> expired;
   for (const auto &[id, it] : Transactions) {
--- a/baobabpin/owner/WritePath.cpp
+++ b/baobabpin/owner/WritePath.cpp
@@ -166,6 +166,12 @@
                                         now);
     break;
   }
+  if (proven && pending->Answer->Outcome == CallOutcome::Refused) {
+    pending->KnownNotRun = true;
+    refuse(pending, ErrorType::TransactionLost,
+           "the transaction was rolled back");
+    return true;
+  }
   if (proven) {
     answer(pending);
     return true;
@@ -181,7 +187,8 @@
   // request ID makes running the statement again safe.
   pending->Answer.reset();
   pending->MaybeRan = true;
-  if (pending->Request.operation() == proto::ForwardRequest::COMMIT)
+  bool isCommit = pending->Request.operation() == proto::ForwardRequest::COMMIT;
+  if (isCommit && !pending->Request.repeat())
     finishUnknown(pending, ErrorType::TransactionLost);
   else
     park(pending, RetryPause);
--- a/standins/upstream/Transactions.cpp
+++ b/standins/upstream/Transactions.cpp
@@ -95,9 +95,13 @@
 Answer checkTransaction(const Database &db, const std::string &transaction,
                         std::uint64_t connection) {
   auto it = db.Transactions.find(transaction);
-  if (it == db.Transactions.end() || it->second.Connection != connection)
+  if (it == db.Transactions.end())
     return refuse(db, Problem::UnknownTransaction,
-                  "no open transaction " + transaction + " on this connection");
+                  "no open transaction " + transaction);
+  // Told apart from an unknown one: this one may still commit.
+  if (it->second.Connection != connection)
+    return refuse(db, Problem::BadRequest,
+                  transaction + " is open on another connection");
   return {};
 }
 
