Report a commit that was discarded as failed, not as not run

Change: such a commit ends as failed with transaction_lost: it ran without effect in the surviving history.

--- a/baobabpin/gateway/StatementRouter.cpp
+++ b/baobabpin/gateway/StatementRouter.cpp
@@ -8,6 +8,7 @@
 
 using base::ErrorType;
 using base::Outcome;
+using owner::makeReply;
 using peer::ForwardOutcome;
 using peer::ForwardResult;
 using namespace std::chrono_literals;
@@ -17,16 +18,6 @@
 constexpr auto AvoidFor = 1s;
 constexpr auto RetryPause = 10ms;
 
-proto::ForwardReply makeReply(Outcome outcome, ErrorType error,
-                              const std::string &detail) {
-  proto::ForwardReply reply;
-  reply.set_outcome(std::string(base::outcomeName(outcome)));
-  reply.set_error(std::string(base::errorName(error)));
-  reply.set_detail(detail);
-  reply.set_age_ms(-1);
-  return reply;
-}
-
 } // namespace
 
 struct StatementRouter::Attempt {
--- a/baobabpin/owner/GroupRunner.cpp
+++ b/baobabpin/owner/GroupRunner.cpp
@@ -52,6 +52,8 @@
                          labels)};
 }
 
+} // namespace
+
 proto::ForwardReply makeReply(Outcome outcome, ErrorType error,
                               const std::string &detail) {
   proto::ForwardReply reply;
@@ -62,8 +64,6 @@
   return reply;
 }
 
-} // namespace
-
 GroupRunner::GroupRunner(kernel::Kernel &kernel, GroupSettings settings,
                          const resources::DatabaseGroup &spec)
     : Kernel(kernel), Loop(kernel.loop()), Settings(std::move(settings)),
@@ -248,7 +248,7 @@
                          const std::string &detail) {
   bool repeatedWrite = pending->Request.repeat() && isWrite(*pending);
   bool inDoubt = pending->MaybeRan || repeatedWrite;
-  if (inDoubt && !pending->KnownNotRun) {
+  if (inDoubt) {
     finishUnknown(pending, error);
     return;
   }
--- a/baobabpin/owner/OwnerService.cpp
+++ b/baobabpin/owner/OwnerService.cpp
@@ -24,15 +24,6 @@
 /// Statements that others forward here make this node act as the owner.
 constexpr auto ForwardedOwnership = 2s;
 
-proto::ForwardReply refusal(ErrorType error, const std::string &detail) {
-  proto::ForwardReply reply;
-  reply.set_outcome(std::string(base::outcomeName(Outcome::NotRun)));
-  reply.set_error(std::string(base::errorName(error)));
-  reply.set_detail(detail);
-  reply.set_age_ms(-1);
-  return reply;
-}
-
 } // namespace
 
 struct OwnerService::State {
@@ -181,13 +172,14 @@
   bool inTransaction = !request.transaction().empty() &&
                        request.operation() != proto::ForwardRequest::BEGIN;
   if (Impl->Draining && !inTransaction) {
-    reply(refusal(ErrorType::Draining, "the node is shutting down"));
+    reply(makeReply(Outcome::NotRun, ErrorType::Draining,
+                    "the node is shutting down"));
     return;
   }
   GroupRunner *runner = Impl->runnerOf(request.group());
   if (!runner) {
-    reply(refusal(ErrorType::UnknownDatabase,
-                  "no group " + request.group() + " is declared"));
+    reply(makeReply(Outcome::NotRun, ErrorType::UnknownDatabase,
+                    "no group " + request.group() + " is declared"));
     return;
   }
   Impl->updateOwnership(request.group(), *runner);
--- a/baobabpin/owner/PendingRequest.h
+++ b/baobabpin/owner/PendingRequest.h
@@ -1,6 +1,7 @@
 /// One request on its way through a group owner.
 #pragma once
 
+#include "baobabpin/base/Errors.h"
 #include "baobabpin/base/Time.h"
 #include "baobabpin/proto/peer.pb.h"
 #include "baobabpin/upstream/Messages.h"
@@ -30,8 +31,6 @@
   /// An earlier attempt may have taken effect: a later refusal does not prove
   /// that the request did not run.
   bool MaybeRan = false;
-  /// The servers have shown that no attempt took effect or ever will.
-  bool KnownNotRun = false;
   /// No replica qualified; the primary answers this read.
   bool NeedsPrimary = false;
   /// A status round was made because no replica was young enough.
@@ -50,6 +49,10 @@
 
 using PendingPtr = std::shared_ptr<PendingRequest>;
 
+/// A reply without data.
+proto::ForwardReply makeReply(base::Outcome outcome, base::ErrorType error,
+                              const std::string &detail);
+
 inline bool isStrict(const PendingRequest &it) {
   return !it.Request.is_write() && it.Request.max_age_ms() == 0;
 }
--- a/baobabpin/owner/WritePath.cpp
+++ b/baobabpin/owner/WritePath.cpp
@@ -9,6 +9,7 @@
 namespace baobabpin::owner {
 
 using base::ErrorType;
+using base::Outcome;
 using upstream::Answer;
 using upstream::CallOutcome;
 using namespace std::chrono_literals;
@@ -167,9 +168,10 @@
     break;
   }
   if (proven && pending->Answer->Outcome == CallOutcome::Refused) {
-    pending->KnownNotRun = true;
-    refuse(pending, ErrorType::TransactionLost,
-           "the transaction was rolled back");
+    // Not "not run": the commit may have run on a primary that was fenced,
+    // whose entry is truncated. It has no effect in the history that survives.
+    finish(pending, makeReply(Outcome::Failed, ErrorType::TransactionLost,
+                              "the transaction was rolled back"));
     return true;
   }
   if (proven) {
