Find group owners by zone and announce changes once

Change: candidates are grouped by zone and hashed once for each change of the members, a resource change forgets only its own group, and changes of one loop iteration are announced once.

--- a/baobabpin/directory/Directory.cpp
+++ b/baobabpin/directory/Directory.cpp
@@ -2,9 +2,11 @@
 
 #include "baobabpin/configsync/ConfigSyncService.h"
 #include "baobabpin/membership/MembershipService.h"
-#include "baobabpin/routing/GroupOwner.h"
+#include "baobabpin/resources/StoredValue.h"
 
+#include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace baobabpin::directory {
 
@@ -17,13 +19,20 @@
 struct Directory::State {
   membership::MembershipService *Members = nullptr;
   kernel::EventLog *Log = nullptr;
+  kernel::EventLoop *Loop = nullptr;
   resources::ResourceCatalog Catalog;
   std::vector<std::function<void()>> CatalogCallbacks;
   std::vector<std::function<void()>> OwnerCallbacks;
   mutable std::unordered_map<base::GroupName, OwnerOrder> Orders;
+  /// Built on demand after a change of the members.
+  mutable std::optional<routing::OwnerCandidates> Candidates;
+  bool OwnersChanged = false;
 
   void apply(const ConfigRecord &record);
-  void forgetOrders();
+  void forgetGroup(const std::string &key);
+  void onMemberChange();
+  void announceOwners();
+  routing::OwnerCandidates makeCandidates() const;
   OwnerOrder computeOrder(const base::GroupName &group) const;
 };
 
@@ -42,38 +51,62 @@
   Log->record(
       "resource_applied",
       {{"key", record.Key}, {"revision", std::to_string(record.Revision)}});
+  forgetGroup(record.Key);
   for (const auto &it : CatalogCallbacks)
     it();
-  forgetOrders();
+  announceOwners();
 }
 
-void Directory::State::forgetOrders() {
+void Directory::State::forgetGroup(const std::string &key) {
+  base::handleFailure(
+      [&]() -> base::Result<bool> {
+        BOOST_LEAF_AUTO(id, resources::parseStoreKey(key));
+        Orders.erase(id.Name);
+        return true;
+      },
+      [](const base::Failure &) { return false; });
+}
+
+void Directory::State::onMemberChange() {
+  Candidates.reset();
   Orders.clear();
-  for (const auto &it : OwnerCallbacks)
-    it();
+  announceOwners();
+}
+
+void Directory::State::announceOwners() {
+  // A burst of changes, as at a start or after a partition, must not make the
+  // owner of every group be looked up for each of them.
+  if (std::exchange(OwnersChanged, true))
+    return;
+  Loop->post([this] {
+    OwnersChanged = false;
+    for (const auto &it : OwnerCallbacks)
+      it();
+  });
+}
+
+routing::OwnerCandidates Directory::State::makeCandidates() const {
+  routing::OwnerCandidates candidates;
+  auto add = [&](const MemberRecord &it) {
+    if (it.State == MemberState::Alive)
+      routing::addCandidate(candidates,
+                            {it.Node, it.Zone, it.Host, it.UnfitGroups});
+  };
+  add(Members->self());
+  for (const auto &[node, entry] : Members->members())
+    add(entry.Record);
+  return candidates;
 }
 
 OwnerOrder Directory::State::computeOrder(const base::GroupName &group) const {
+  if (!Candidates)
+    Candidates = makeCandidates();
   std::vector<base::AvailabilityZone> zones;
   if (const auto *spec = Catalog.findGroup(group)) {
     for (const auto &it : spec->Servers)
       zones.push_back(it.Zone);
   }
-  std::vector<routing::OwnerCandidate> candidates;
-  OwnerOrder order;
-  order.AllUnfit = true;
-  auto add = [&](const MemberRecord &it) {
-    if (it.State != MemberState::Alive)
-      return;
-    bool fit = !it.UnfitGroups.contains(group);
-    order.AllUnfit = order.AllUnfit && !fit;
-    candidates.push_back({it.Node, it.Zone, it.Host, fit});
-  };
-  add(Members->self());
-  for (const auto &[node, entry] : Members->members())
-    add(entry.Record);
-  order.Nodes = routing::ownerOrder(group, zones, candidates);
-  return order;
+  return routing::ownerOrder(group, zones, *Candidates);
 }
 
 Directory::Directory() : Impl(std::make_unique<State>()) {}
@@ -82,12 +115,13 @@
 base::Result<void> Directory::start(kernel::Kernel &kernel) {
   Impl->Members = &kernel.find<MembershipService>("membership");
   Impl->Log = &kernel.log();
+  Impl->Loop = &kernel.loop();
   auto &config = kernel.find<ConfigSyncService>("configsync");
   for (const auto &it : config.list(std::string(configsync::ResourcePrefix)))
     Impl->apply(it);
   config.onChange([this](const ConfigRecord &it) { Impl->apply(it); });
   Impl->Members->onChange(
-      [this](const membership::MemberChange &) { Impl->forgetOrders(); });
+      [this](const membership::MemberChange &) { Impl->onMemberChange(); });
   return {};
 }
 
--- a/baobabpin/directory/Directory.h
+++ b/baobabpin/directory/Directory.h
@@ -12,6 +12,7 @@
 
 #include "baobabpin/kernel/Kernel.h"
 #include "baobabpin/resources/ResourceCatalog.h"
+#include "baobabpin/routing/GroupOwner.h"
 
 #include <functional>
 #include <memory>
@@ -20,12 +21,7 @@
 
 namespace baobabpin::directory {
 
-struct OwnerOrder {
-  /// In order of preference; the first is the owner.
-  std::vector<base::NodeId> Nodes;
-  /// Every member has declared itself unfit for the group.
-  bool AllUnfit = false;
-};
+using routing::OwnerOrder;
 
 class Directory : public kernel::Service {
 public:
@@ -50,7 +46,8 @@
 
   /// Called after a change of the catalog.
   void onCatalogChange(std::function<void()> callback);
-  /// Called after a change of any owner order.
+  /// Called after changes of owner orders; several changes of one iteration of
+  /// the event loop give one call.
   void onOwnersChange(std::function<void()> callback);
 
 private:
--- a/baobabpin/owner/OwnerService.cpp
+++ b/baobabpin/owner/OwnerService.cpp
@@ -153,10 +153,9 @@
   if (!routing::findChooser(Impl->Settings.Chooser))
     return base::fail(ErrorType::InvalidSettings,
                       "unknown replica chooser " + Impl->Settings.Chooser);
-  Impl->Fleet->onOwnersChange([this] {
-    // Not from within a runner's own callback: it may be replaced.
-    Impl->Kernel->loop().post([this] { Impl->updateRunners(); });
-  });
+  // The call comes from the loop, never from within a runner's own callback: a
+  // runner may be replaced here.
+  Impl->Fleet->onOwnersChange([this] { Impl->updateRunners(); });
   Impl->updateRunners();
   Impl->Ticker = kernel.loop().runEvery(TickPeriod, [this] { Impl->tick(); });
   return {};
--- a/baobabpin/routing/GroupOwner.cpp
+++ b/baobabpin/routing/GroupOwner.cpp
@@ -3,51 +3,81 @@
 #include "baobabpin/base/Hash.h"
 
 #include <algorithm>
-#include <compare>
-#include <cstdint>
 
 namespace baobabpin::routing {
 namespace {
 
 struct Rank {
-  bool Unfit = false;
-  std::size_t ZoneDistance = 0;
   std::uint64_t Weight = 0;
   const OwnerCandidate *Candidate = nullptr;
 };
 
+/// Mixes two hashes into one (the finalizer of SplitMix64); much cheaper than
+/// hashing the names again for each pair of group and host.
+std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
+  std::uint64_t it = a ^ (b + 0x9e3779b97f4a7c15ULL);
+  it = (it ^ (it >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  it = (it ^ (it >> 27)) * 0x94d049bb133111ebULL;
+  return it ^ (it >> 31);
+}
+
 bool isPreferred(const Rank &a, const Rank &b) {
-  if (a.Unfit != b.Unfit)
-    return !a.Unfit;
-  if (a.ZoneDistance != b.ZoneDistance)
-    return a.ZoneDistance < b.ZoneDistance;
   if (a.Weight != b.Weight)
     return a.Weight > b.Weight;
   return a.Candidate->Node < b.Candidate->Node;
 }
 
-} // namespace
-
-std::vector<base::NodeId>
-ownerOrder(const base::GroupName &group,
-           const std::vector<base::AvailabilityZone> &zones,
-           const std::vector<OwnerCandidate> &candidates, std::size_t limit) {
-  std::uint64_t seed = base::hash64(group);
+/// Appends up to \p n candidates of one zone by weight.
+void appendZone(std::uint64_t seed, const base::GroupName &group, bool unfit,
+                const std::vector<OwnerCandidate> &zone, std::size_t n,
+                std::vector<base::NodeId> &out) {
   std::vector<Rank> ranks;
-  ranks.reserve(candidates.size());
-  for (const auto &it : candidates) {
-    auto zone = std::find(zones.begin(), zones.end(), it.Zone);
-    ranks.push_back({!it.Fit, static_cast<std::size_t>(zone - zones.begin()),
-                     base::hash64(it.Host, seed), &it});
+  for (const auto &it : zone) {
+    if (it.UnfitGroups.contains(group) == unfit)
+      ranks.push_back({mix(seed, it.HostHash), &it});
   }
-  std::size_t n = std::min(limit, ranks.size());
+  n = std::min(n, ranks.size());
   std::partial_sort(ranks.begin(), ranks.begin() + static_cast<long>(n),
                     ranks.end(), isPreferred);
-  std::vector<base::NodeId> order;
-  order.reserve(n);
   for (std::size_t i = 0; i < n; ++i)
-    order.push_back(ranks[i].Candidate->Node);
-  return order;
+    out.push_back(ranks[i].Candidate->Node);
+}
+
+} // namespace
+
+void addCandidate(OwnerCandidates &candidates, OwnerCandidate candidate) {
+  candidate.HostHash = base::hash64(candidate.Host);
+  auto &zone = candidates[candidate.Zone];
+  zone.push_back(std::move(candidate));
+}
+
+OwnerOrder ownerOrder(const base::GroupName &group,
+                      const std::vector<base::AvailabilityZone> &zones,
+                      const OwnerCandidates &candidates, std::size_t limit) {
+  std::uint64_t seed = base::hash64(group);
+  std::vector<const std::vector<OwnerCandidate> *> order;
+  for (const auto &zone : zones) {
+    auto it = candidates.find(zone);
+    if (it != candidates.end() &&
+        std::find(order.begin(), order.end(), &it->second) == order.end())
+      order.push_back(&it->second);
+  }
+  for (const auto &[zone, members] : candidates) {
+    if (std::find(zones.begin(), zones.end(), zone) == zones.end())
+      order.push_back(&members);
+  }
+  OwnerOrder result;
+  for (bool unfit : {false, true}) {
+    for (const auto *zone : order) {
+      if (result.Nodes.size() == limit)
+        return result;
+      appendZone(seed, group, unfit, *zone, limit - result.Nodes.size(),
+                 result.Nodes);
+    }
+    if (!unfit)
+      result.AllUnfit = result.Nodes.empty();
+  }
+  return result;
 }
 
 } // namespace baobabpin::routing
--- a/baobabpin/soak/Members.cpp
+++ b/baobabpin/soak/Members.cpp
@@ -20,28 +20,26 @@
 std::string zoneOf(std::size_t n) { return "zone-" + std::to_string(n % 3); }
 
 /// The members that the viewer takes for live, most preferred first.
-std::vector<std::string> orderSeenBy(World &world, const OwnerNode &viewer,
-                                     bool &allUnfit) {
-  std::vector<routing::OwnerCandidate> members;
-  allUnfit = true;
+routing::OwnerOrder orderSeenBy(World &world, const OwnerNode &viewer) {
+  const auto &group = world.Context.Config.Group;
+  routing::OwnerCandidates members;
   for (std::size_t n = 0; n < world.Nodes.size(); ++n) {
     const auto &it = world.Nodes[n];
     if (!seems(world, viewer, it))
       continue;
-    bool fit = world.Sim.Now >= it.UnfitUntil;
-    allUnfit = allUnfit && !fit;
-    members.push_back({it.Proc.Name, zoneOf(n), it.Proc.Name, fit});
+    routing::OwnerCandidate member{it.Proc.Name, zoneOf(n), it.Proc.Name, {}};
+    if (world.Sim.Now < it.UnfitUntil)
+      member.UnfitGroups.insert(group);
+    routing::addCandidate(members, std::move(member));
   }
-  return routing::ownerOrder(world.Context.Config.Group,
-                             {zoneOf(0), zoneOf(1), zoneOf(2)}, members);
+  return routing::ownerOrder(group, {zoneOf(0), zoneOf(1), zoneOf(2)}, members);
 }
 
 void refresh(World &world, OwnerNode &node) {
-  bool allUnfit = false;
-  auto order = orderSeenBy(world, node, allUnfit);
-  bool first = !order.empty() && order.front() == node.Proc.Name;
+  auto order = orderSeenBy(world, node);
+  bool first = !order.Nodes.empty() && order.Nodes.front() == node.Proc.Name;
   node.State.Active = world.AllActive || first;
-  node.State.LastResort = node.State.Active && allUnfit;
+  node.State.LastResort = node.State.Active && order.AllUnfit;
   auto delay = pickDuration(world.Sim, RefreshMin, RefreshMax);
   scheduleOn(world.Sim, node.Proc, delay,
              [&world, &node] { refresh(world, node); });
@@ -52,11 +50,10 @@
 void startMembership(World &world, OwnerNode &node) { refresh(world, node); }
 
 OwnerNode *preferredNode(World &world) {
-  bool allUnfit = false;
   for (auto &viewer : world.Nodes) {
     if (!viewer.Proc.Alive)
       continue;
-    auto order = orderSeenBy(world, viewer, allUnfit);
+    auto order = orderSeenBy(world, viewer).Nodes;
     for (auto &it : world.Nodes) {
       if (!order.empty() && it.Proc.Name == order.front())
         return &it;
