Make a planned handover once, whoever owns the group

Change: the owner claims a handover in the platform's store under its resource revision and records its end there; a claimant that died is replaced. The status of a group comes from its owner, not from a former one.

--- a/baobabpin/node/NodeAssembly.cpp
+++ b/baobabpin/node/NodeAssembly.cpp
@@ -91,8 +91,9 @@
   config.Store = settings.Store;
   kernel.add(std::make_unique<configsync::ConfigSyncService>(config));
   kernel.add(std::make_unique<directory::Directory>());
-  kernel.add(std::make_unique<owner::OwnerService>(owner::OwnerSettings{
-      settings.Callers.Address, settings.Baseline, settings.Chooser, seed}));
+  kernel.add(std::make_unique<owner::OwnerService>(
+      owner::OwnerSettings{settings.Callers.Address, settings.Baseline,
+                           settings.Chooser, seed, settings.Store}));
   kernel.add(makePeer(kernel, settings));
   kernel.add(std::make_unique<gateway::GatewayService>(
       gateway::GatewaySettings{settings.Callers, settings.SessionKeys, seed}));
--- a/baobabpin/node/NodeBackend.cpp
+++ b/baobabpin/node/NodeBackend.cpp
@@ -165,10 +165,11 @@
     callback(std::move(status));
     return;
   }
-  status.Detail = Owner->describeGroup(id.Name);
+  // A node that owned the group for a while may still have a view of it, which
+  // is older than the owner's.
   const auto &owners = Fleet->ownersOf(id.Name).Nodes;
-  if (!status.Detail.empty() || owners.empty() ||
-      owners.front() == Fleet->self()) {
+  if (owners.empty() || owners.front() == Fleet->self()) {
+    status.Detail = Owner->describeGroup(id.Name);
     callback(std::move(status));
     return;
   }
--- a/baobabpin/owner/GroupRunner.h
+++ b/baobabpin/owner/GroupRunner.h
@@ -38,6 +38,8 @@
   std::uint64_t RandomSeed = 0;
   /// Publishes that this node should not own the group for a while.
   std::function<void(base::Duration)> DeclareUnfit;
+  /// A requested handover was made.
+  std::function<void()> HandoverDone;
 };
 
 /// Counters of one group for the metrics endpoint.
--- a/baobabpin/owner/OwnerService.cpp
+++ b/baobabpin/owner/OwnerService.cpp
@@ -4,8 +4,11 @@
 #include "baobabpin/directory/Directory.h"
 #include "baobabpin/membership/MembershipService.h"
 #include "baobabpin/owner/GroupRunner.h"
+#include "baobabpin/owner/HandoverClaims.h"
 
 #include <map>
+#include <optional>
+#include <set>
 
 namespace baobabpin::owner {
 
@@ -23,6 +26,8 @@
 constexpr auto LingerTime = 5s;
 /// Statements that others forward here make this node act as the owner.
 constexpr auto ForwardedOwnership = 2s;
+/// Claims are asked for this often; each is one or two calls of the store.
+constexpr auto HandoverCheckPeriod = 250ms;
 
 } // namespace
 
@@ -35,8 +40,12 @@
   MembershipService *Members = nullptr;
   kernel::Timer Ticker;
   std::map<base::GroupName, std::unique_ptr<GroupRunner>> Runners;
-  /// Names of primary handovers that were started already.
-  std::set<std::string> StartedHandovers;
+  std::optional<platform::StoreClient> Store;
+  std::optional<HandoverClaims> Claims;
+  /// Planned handovers that are declared, with their group.
+  std::map<HandoverId, base::GroupName> Handovers;
+  std::set<HandoverId> HandoversMade;
+  base::TimePoint NextHandoverCheck;
   bool Draining = false;
 
   GroupRunner *runnerOf(const base::GroupName &group);
@@ -45,6 +54,8 @@
   void updateRunners();
   void updateOwnership(const base::GroupName &group, GroupRunner &runner);
   void applyStops();
+  void onHandoverDone(const base::GroupName &group);
+  void advanceHandovers();
   void tick();
 };
 
@@ -61,6 +72,7 @@
   settings.DeclareUnfit = [this, group](base::Duration period) {
     Members->declareUnfit(group, period);
   };
+  settings.HandoverDone = [this, group] { onHandoverDone(group); };
   Runners[group] =
       std::make_unique<GroupRunner>(*Kernel, std::move(settings), spec);
   updateOwnership(group, *Runners[group]);
@@ -114,31 +126,60 @@
 
 void OwnerService::State::applyStops() {
   std::set<base::ServerId> servers;
-  std::set<std::string> handovers;
+  Handovers.clear();
   for (const auto &[name, stop] : Fleet->catalog().plannedStops()) {
     if (stop.TargetKind == resources::StopTarget::Server)
       servers.insert(stop.Target);
     if (stop.TargetKind != resources::StopTarget::Primary)
       continue;
-    handovers.insert(name);
-    auto runner = Runners.find(stop.Target);
-    if (runner != Runners.end() && Fleet->isOwner(stop.Target) &&
-        !StartedHandovers.contains(name)) {
-      StartedHandovers.insert(name);
-      runner->second->startHandover();
-    }
+    const auto *record =
+        Fleet->catalog().find({resources::ResourceKind::PlannedStop, name});
+    Handovers[{name, record->Revision}] = stop.Target;
   }
-  // A stop that was deleted may be declared again under the same name.
-  std::erase_if(StartedHandovers,
-                [&](const auto &it) { return !handovers.contains(it); });
+  Claims->keepOnly(Handovers);
+  std::erase_if(HandoversMade,
+                [&](const auto &it) { return !Handovers.contains(it); });
   for (auto &[group, runner] : Runners)
     runner->setStoppedServers(servers);
 }
 
+void OwnerService::State::onHandoverDone(const base::GroupName &group) {
+  for (const auto &[id, target] : Handovers) {
+    if (target == group && Claims->isStarted(id))
+      HandoversMade.insert(id);
+  }
+}
+
+void OwnerService::State::advanceHandovers() {
+  for (const auto &[id, group] : Handovers) {
+    if (HandoversMade.contains(id)) {
+      Claims->complete(id, Fleet->self());
+      continue;
+    }
+    if (Draining || !Fleet->isOwner(group) || !Runners.contains(group))
+      continue;
+    Claims->request(
+        id, Fleet->self(),
+        [this](const std::string &node) {
+          const auto *member = Members->find(node);
+          return member && member->State == membership::MemberState::Alive;
+        },
+        [this, group = group] {
+          auto runner = Runners.find(group);
+          if (runner != Runners.end())
+            runner->second->startHandover();
+        });
+  }
+}
+
 void OwnerService::State::tick() {
   auto now = Kernel->loop().now();
   for (auto &[group, runner] : Runners)
     runner->tick(now);
+  if (now < NextHandoverCheck)
+    return;
+  NextHandoverCheck = now + HandoverCheckPeriod;
+  advanceHandovers();
 }
 
 OwnerService::OwnerService(OwnerSettings settings)
@@ -150,6 +191,8 @@
   Impl->Kernel = &kernel;
   Impl->Fleet = &kernel.find<Directory>("directory");
   Impl->Members = &kernel.find<MembershipService>("membership");
+  Impl->Store.emplace(kernel.loop(), kernel.metrics(), Impl->Settings.Store);
+  Impl->Claims.emplace(*Impl->Store);
   if (!routing::findChooser(Impl->Settings.Chooser))
     return base::fail(ErrorType::InvalidSettings,
                       "unknown replica chooser " + Impl->Settings.Chooser);
@@ -164,6 +207,7 @@
 void OwnerService::stop() {
   Impl->Ticker.cancel();
   Impl->Runners.clear();
+  Impl->Store.reset();
 }
 
 void OwnerService::submit(const proto::ForwardRequest &request,
--- a/baobabpin/owner/OwnerService.h
+++ b/baobabpin/owner/OwnerService.h
@@ -6,6 +6,7 @@
 /// \endcode
 #pragma once
 
+#include "baobabpin/http/HttpClient.h"
 #include "baobabpin/kernel/Kernel.h"
 #include "baobabpin/owner/PendingRequest.h"
 
@@ -21,6 +22,8 @@
   /// Name of the replica chooser; see routing::findChooser.
   std::string Chooser = "least_pending";
   std::uint64_t RandomSeed = 0;
+  /// Keeps which planned handovers were made.
+  http::Endpoint Store;
 };
 
 class OwnerService : public kernel::Service {
--- a/baobabpin/owner/ReplicationDriver.cpp
+++ b/baobabpin/owner/ReplicationDriver.cpp
@@ -202,8 +202,9 @@
   static constexpr const char *Names[] = {"done", "not_caught_up", "failed"};
   record("handover_finished",
          {{"result", Names[static_cast<int>(action.Result)]}});
-  if (action.Result == replication::HandoverResult::Done)
-    HandoverRequested = false;
+  bool done = action.Result == replication::HandoverResult::Done;
+  if (done && std::exchange(HandoverRequested, false))
+    Settings.HandoverDone();
 }
 
 void GroupRunner::abortSilentCalls(base::TimePoint now) {
