--- a/scripts/lib/operations_config.py
+++ b/scripts/lib/operations_config.py
@@ -29,7 +29,7 @@
 def admission(cluster, max_sessions, version=None):
     """A file that changes only the number of sessions."""
     with open(cluster.path("resources/admission.json")) as file:
-        resource = json.load(file)[0]
+        resource = json.load(file)
     resource["spec"]["max_sessions"] = max_sessions
     if version is not None:
         resource["version"] = version
@@ -123,7 +123,7 @@
     with open(cluster.path("resources/groups.json")) as file:
         groups = json.load(file)
     with open(cluster.path("resources/admission.json")) as file:
-        admitted = json.load(file)[0]
+        admitted = json.load(file)
     stop = {"target_kind": "node", "target": "host-1", "deadline_s": 20}
     yield "an unknown kind", {"kind": "DatabaseGrove", "name": "a", "spec": {}}
     yield "an unknown field", admitted | {
