--- a/scripts/lib/operated.py
+++ b/scripts/lib/operated.py
@@ -78,8 +78,9 @@
         return {f"{it['kind']}/{it['name']}": it["version"]
                 for it in listed.value()}
 
-    def group_detail(self, group):
-        status = self.run("get", "DatabaseGroup", group, "-o", "json")
+    def group_detail(self, group, node):
+        status = self.run("get", "DatabaseGroup", group, "-o", "json",
+                          nodes=[node])
         if status.code != OK:
             raise ProcessError(f"get {group}: {status}")
         return status.value()["status"].get("detail") or {}
--- a/scripts/lib/operations_stops.py
+++ b/scripts/lib/operations_stops.py
@@ -1,5 +1,6 @@
 """Promises about planned stops, and about nodes that pause or die."""
 
+import collections
 import signal
 import threading
 import time
@@ -8,6 +9,7 @@
 from cluster import monotonic_us
 from http_json import CallError, post
 from operated import OK, Operator
+from processes import ProcessError
 
 # Invariant 7: a server that leaves gets no new work after this time.
 NO_NEW_WORK_US = 3_000_000
@@ -15,6 +17,7 @@
 OBSERVED_S = 6.0
 NODE_STOP_LIMIT_S = 40
 HANDOVER_LIMIT_S = 20
+OWNER_LIMIT_S = 20
 HANDOVER_TARGET_MS = 250
 NODE_PAUSE_S = 0.5
 # Longer than a suspicion (400 ms) and a promotion take.
@@ -108,8 +111,25 @@
 
 
 def owner_of(cluster, group):
-    name = Operator(cluster).group_detail(group).get("owner")
-    return next(it for it in cluster.live_nodes() if it.id == name)
+    """The node that most nodes name; a former owner names itself until its
+    idle runner is dropped. After a crash nobody is named for a while."""
+    deadline = time.monotonic() + OWNER_LIMIT_S
+    while True:
+        named = named_owners(cluster, group)
+        for node in cluster.live_nodes():
+            if named and named.most_common(1)[0][0] == node.id:
+                return node
+        if time.monotonic() > deadline:
+            raise ProcessError(f"no live owner of {group}: {dict(named)}")
+        time.sleep(0.2)
+
+
+def named_owners(cluster, group):
+    """How often the nodes name each; they name it as node/incarnation."""
+    details = [Operator(cluster).group_detail(group, it)
+               for it in cluster.live_nodes()]
+    return collections.Counter(it["owner"].split("/")[0]
+                               for it in details if it)
 
 
 def terms(cluster):
