--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -49,12 +49,14 @@
 
 
 class Cluster:
-    def __init__(self, layout, folder, binaries, seed, baseline=False):
+    def __init__(self, layout, folder, binaries, seed, baseline=False,
+                 chooser="least_pending"):
         self.layout = layout
         self.folder = folder
         self.binaries = binaries
         self.seed = seed
         self.baseline = baseline
+        self.chooser = chooser
         os.makedirs(folder, exist_ok=True)
         self.processes = Processes(folder)
         self.faults = FaultLog(self.path("faults.jsonl"))
@@ -120,7 +122,7 @@
             "fleet_secret": fleet_secret,
             "session_keys": [{"id": 1, "secret": session_secret}],
             "tls": {"clear_text": True},
-            "policy": {"baseline": self.baseline},
+            "policy": {"baseline": self.baseline, "chooser": self.chooser},
         }
 
     def resources(self):
