--- a/scripts/lib/slope_groups.py
+++ b/scripts/lib/slope_groups.py
@@ -7,30 +7,31 @@
 import secrets
 import time
 
-from deployments import BUKHAN
+from deployments import BUKHAN, SERVERS_PER_GROUP
 from http_json import CallError
 from processes import ProcessError
-from slope_fleet import OWNED_GROUP_METRIC, Fleet, cpu_s, metrics, resident_kb
+from slope_fleet import (OWNED_GROUP_METRIC, Fleet, cpu_s, metrics,
+                         resident_kb)
 
 REVISION_METRIC = "baobabpin_config_applied_revision"
 APPLY_LIMIT_S = 40
 SETTLE_S = 4
 WINDOW_S = 8
 CHANGES = 20
-SHARED_SERVERS = 3
-# Every group names the same three servers under their own IDs. Under other IDs
+# Many groups name the same servers, under the servers' own IDs. Under other IDs
 # the owners would find an unknown primary and promote without end.
 SHARED_CONNECTIONS = 10000
 
 
-def put_groups(fleet, first, last, zone, shared):
+def put_groups(fleet, first, last, zone, sets):
     """Stores groups over one connection; returns the last revision."""
     host, port = fleet.layout.store.split(":")
     connection = http.client.HTTPConnection(host, int(port))
     revision = 0
     for n in range(first, last):
         servers = [{"id": it.id, "address": it.address,
-                    "availability_zone": zone} for it in shared]
+                    "availability_zone": zone}
+                   for it in sets[n % len(sets)]]
         spec = {"customer": BUKHAN.name, "database": f"database-{n}",
                 "servers": servers, "slots": 2,
                 "connections": SHARED_CONNECTIONS}
@@ -122,10 +123,10 @@
     observer, owner = fleet.layout.nodes[:2]
     rows, declared = [], 0
     try:
-        servers = start_shared_servers(fleet)
+        sets = start_shared_servers(fleet)
         fleet.start()
         for n in counts:
-            revision = put_groups(fleet, declared, n, owner.zone, servers)
+            revision = put_groups(fleet, declared, n, owner.zone, sets)
             row = {"declared_groups": n, "members": owners + 1,
                    "group_members": n * (owners + 1),
                    "apply_s_after_last_put": wait_applied(fleet, revision)}
@@ -145,20 +146,24 @@
 
 
 def start_shared_servers(fleet):
-    """The servers of one group, which every declared group names."""
+    """Sets of three servers; a process takes 20,000 connections at most, so
+    the declared groups are divided among the sets."""
     servers = [dataclasses.replace(it, link=it.address)
-               for it in fleet.layout.servers[:SHARED_SERVERS]]
+               for it in fleet.layout.servers]
+    sets = [servers[i:i + SERVERS_PER_GROUP]
+            for i in range(0, len(servers), SERVERS_PER_GROUP)]
     for server in servers:
+        members = next(it for it in sets if server in it)
         arguments = [
             fleet.binary("standin_upstream"), "--listen", server.address,
             "--server", server.id, "--group", server.group,
-            "--primary", servers[0].id,
+            "--primary", members[0].id,
             "--connections", SHARED_CONNECTIONS]
-        for peer in servers:
+        for peer in members:
             if peer.id != server.id:
                 arguments += ["--peer", f"{peer.id}={peer.link}"]
         fleet.processes.start("upstream-" + server.id, arguments)
-    return servers
+    return sets
 
 
 def measure_owned(options, x):
@@ -167,10 +172,10 @@
     node = fleet.layout.nodes[0]
     rows, declared = [], 0
     try:
-        servers = start_shared_servers(fleet)
+        sets = start_shared_servers(fleet)
         fleet.start()
         for n in options.owned_groups:
-            revision = put_groups(fleet, declared, n, node.zone, servers)
+            revision = put_groups(fleet, declared, n, node.zone, sets)
             wait_applied(fleet, revision)
             row = {"owned_groups": n} | figures(fleet, node)
             row["sockets"] = socket_count(fleet.pid(node))
