--- a/scripts/lib/slope_parts.py
+++ b/scripts/lib/slope_parts.py
@@ -16,9 +16,6 @@
 # Nodes that share the groups, so that none of them is overloaded.
 FEW_OWNERS = 8
 MANY_OWNERS = 40
-# With 2,000 groups, 41 nodes overload a machine of 10 cores: they suspect each
-# other, and each suspicion makes all of them compute all owners again.
-MANY_OWNERS_GROUPS = 500
 
 
 def rates(before, after, nodes):
@@ -126,8 +123,7 @@
                ["anonymous_kb", "cpu_percent", "restart_cpu_s"])
     # A second fleet size tells groups and members apart.
     rows += slope_groups.measure_declared(
-        options, x, MANY_OWNERS,
-        [it for it in options.groups if it <= MANY_OWNERS_GROUPS])
+        options, x, MANY_OWNERS, options.larger_fleet_groups)
     rows.sort(key=lambda it: it["group_members"])
     write_part(options, "ownership", rows, "group_members",
                ["cpu_ms_per_change"])
--- a/scripts/lib/slope_statements.py
+++ b/scripts/lib/slope_statements.py
@@ -46,7 +46,8 @@
                        ["--pid", pid])
             row["node_cpu_s"] = cpu_s(pid) - before
             row["anonymous_kb"] = resident_kb(pid)[1]
-            rows.append({"sessions": sessions} | row)
+            row["sessions"] = sessions
+            rows.append(row)
             report(f"statements_{sessions}", row)
         direct = load(cluster, cluster.layout.servers[-1].address, 4,
                       ["--upstream"])
--- a/scripts/lib/slopes.py
+++ b/scripts/lib/slopes.py
@@ -24,6 +24,9 @@
     parser.add_argument("--window-s", type=float, default=20)
     parser.add_argument("--groups", type=int, nargs="+",
                         default=[10, 500, 2000, 7700])
+    # With 2,000 groups, 41 nodes do not settle on 10 cores (KNOWN-RED.txt).
+    parser.add_argument("--larger-fleet-groups", type=int, nargs="+",
+                        default=[10, 500])
     parser.add_argument("--owned-groups", type=int, nargs="+",
                         default=[3, 30, 100])
     parser.add_argument("--sessions", type=int, nargs="+",
