Lose no request when a group is declared anew under load

Cause: a changed DatabaseGroup replaced the group's runner at once; statements that had been sent to servers were dropped with it and their callers got no answer. Change: the former runner finishes what it sent and its open transactions; what was still queued goes to the new one. scripts/run declares every group anew under load and expects an answer to every request.

--- a/baobabpin/owner/GroupRunner.cpp
+++ b/baobabpin/owner/GroupRunner.cpp
@@ -94,6 +94,26 @@
   }
 }
 
+std::vector<PendingPtr> GroupRunner::retire() {
+  State.Active = false;
+  std::vector<PendingPtr> unsent;
+  auto take = [&](const PendingPtr &it) {
+    // The doubt about an earlier attempt belongs to this runner's answer.
+    if (it->MaybeRan)
+      return false;
+    unsent.push_back(it);
+    return true;
+  };
+  for (const auto &it : admission::takeAll(Queue)) {
+    auto entry = Queued.extract(it.Id);
+    if (!take(entry.mapped()))
+      park(entry.mapped(), base::Duration::zero());
+  }
+  std::erase_if(Parked, take);
+  std::erase_if(SlotWaiters, take);
+  return unsent;
+}
+
 void GroupRunner::submit(const proto::ForwardRequest &request,
                          ReplyCallback reply) {
   auto now = Loop.now();
--- a/baobabpin/owner/GroupRunner.h
+++ b/baobabpin/owner/GroupRunner.h
@@ -57,7 +57,7 @@
 public:
   GroupRunner(kernel::Kernel &kernel, GroupSettings settings,
               const resources::DatabaseGroup &spec);
-  /// Refuses what is queued and ends open transactions.
+  /// Ends what is not finished as refused or unknown.
   ~GroupRunner();
   GroupRunner(const GroupRunner &) = delete;
   GroupRunner &operator=(const GroupRunner &) = delete;
@@ -75,6 +75,13 @@
   /// Hands the primary over to a replica, once.
   void startHandover();
 
+  /// Gives up the requests that were not sent to a server yet, for a runner
+  /// with the group's new declaration. What was sent is finished here.
+  std::vector<PendingPtr> retire();
+
+  bool hasTransaction(const std::string &id) const {
+    return Transactions.contains(id);
+  }
   /// Requests without an answer yet, and open transactions.
   std::size_t inFlight() const;
   /// When the last statement arrived.
--- a/baobabpin/owner/OwnerService.cpp
+++ b/baobabpin/owner/OwnerService.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace baobabpin::owner {
 
@@ -40,6 +41,8 @@
   MembershipService *Members = nullptr;
   kernel::Timer Ticker;
   std::map<base::GroupName, std::unique_ptr<GroupRunner>> Runners;
+  /// Runners of former declarations that finish what they sent.
+  std::vector<std::unique_ptr<GroupRunner>> Retired;
   std::optional<platform::StoreClient> Store;
   std::optional<HandoverClaims> Claims;
   /// Planned handovers that are declared, with their group.
@@ -52,6 +55,8 @@
   void makeRunner(const base::GroupName &group,
                   const resources::DatabaseGroup &spec);
   void updateRunners();
+  void replaceRunner(const base::GroupName &group,
+                     const resources::DatabaseGroup *spec);
   void updateOwnership(const base::GroupName &group, GroupRunner &runner);
   void applyStops();
   void onHandoverDone(const base::GroupName &group);
@@ -108,22 +113,41 @@
   for (auto it = Runners.begin(); it != Runners.end();) {
     const auto *spec = Fleet->catalog().findGroup(it->first);
     GroupRunner &runner = *it->second;
-    bool changed = !spec || !(*spec == runner.spec());
+    if (!spec || !(*spec == runner.spec())) {
+      base::GroupName group = it->first;
+      replaceRunner(group, spec);
+      it = Runners.upper_bound(group);
+      continue;
+    }
     bool leftOver = !Fleet->isOwner(it->first) && runner.inFlight() == 0 &&
                     now - runner.lastWork() > LingerTime;
-    if (!changed && !leftOver) {
-      updateOwnership(it->first, runner);
-      ++it;
+    if (leftOver) {
+      it = Runners.erase(it);
       continue;
     }
-    base::GroupName group = it->first;
-    it = Runners.erase(it);
-    if (spec && Fleet->isOwner(group))
-      makeRunner(group, *spec);
+    updateOwnership(it->first, runner);
+    ++it;
   }
   applyStops();
 }
 
+void OwnerService::State::replaceRunner(const base::GroupName &group,
+                                        const resources::DatabaseGroup *spec) {
+  auto former = std::move(Runners.extract(group).mapped());
+  auto unsent = former->retire();
+  Retired.push_back(std::move(former));
+  if (spec)
+    makeRunner(group, *spec);
+  for (const auto &it : unsent) {
+    auto reply = std::exchange(it->Reply, nullptr);
+    if (spec)
+      Runners[group]->submit(it->Request, std::move(reply));
+    else
+      reply(makeReply(Outcome::NotRun, ErrorType::UnknownDatabase,
+                      "the group was deleted"));
+  }
+}
+
 void OwnerService::State::applyStops() {
   std::set<base::ServerId> servers;
   Handovers.clear();
@@ -176,6 +200,9 @@
   auto now = Kernel->loop().now();
   for (auto &[group, runner] : Runners)
     runner->tick(now);
+  for (auto &it : Retired)
+    it->tick(now);
+  std::erase_if(Retired, [](const auto &it) { return it->inFlight() == 0; });
   if (now < NextHandoverCheck)
     return;
   NextHandoverCheck = now + HandoverCheckPeriod;
@@ -207,6 +234,7 @@
 void OwnerService::stop() {
   Impl->Ticker.cancel();
   Impl->Runners.clear();
+  Impl->Retired.clear();
   Impl->Store.reset();
 }
 
@@ -219,6 +247,12 @@
                     "the node is shutting down"));
     return;
   }
+  for (const auto &it : Impl->Retired) {
+    if (inTransaction && it->hasTransaction(request.transaction())) {
+      it->submit(request, std::move(reply));
+      return;
+    }
+  }
   GroupRunner *runner = Impl->runnerOf(request.group());
   if (!runner) {
     reply(makeReply(Outcome::NotRun, ErrorType::UnknownDatabase,
@@ -238,6 +272,8 @@
   std::size_t n = 0;
   for (const auto &[group, runner] : Impl->Runners)
     n += runner->inFlight();
+  for (const auto &it : Impl->Retired)
+    n += it->inFlight();
   return n;
 }
 
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -145,6 +145,19 @@
             yield "StalenessAllowance/" + name, owner | {
                 "class": name, "max_age_ms": age_ms}
 
+    def change_connections(self, count):
+        """Declares every group anew with another connection limit."""
+        for key, spec in self.resources():
+            if not key.startswith("DatabaseGroup/"):
+                continue
+            stored = post(self.layout.store, "/v1/get",
+                          {"key": "resources/" + key})
+            value = json.dumps({"mark": secrets.token_hex(16),
+                                "spec": spec | {"connections": count}})
+            post(self.layout.store, "/v1/put",
+                 {"key": "resources/" + key, "value": value,
+                  "expected_revision": stored["revision"]})
+
     def put_resources(self):
         for key, spec in self.resources():
             value = json.dumps({"mark": secrets.token_hex(16), "spec": spec})
--- a/scripts/lib/run.py
+++ b/scripts/lib/run.py
@@ -19,6 +19,7 @@
     os.path.abspath(__file__))))
 NODE_STOP_LIMIT_S = 15
 DRAIN_LIMIT_S = 40
+GROUP_CHANGE_PAUSE_S = 0.5
 COUNTED_WRITE = {"bukhan": "checkout", "lankapura": "typing_return"}
 
 
@@ -88,6 +89,14 @@
                                 f"status {status}")
 
 
+def change_groups(cluster):
+    """New declarations of every group under load must not lose a request."""
+    connections = cluster.layout.deployment.connections
+    for count in (connections - 1, connections):
+        cluster.change_connections(count)
+        time.sleep(GROUP_CHANGE_PAUSE_S)
+
+
 def stop_all_nodes(cluster, verdict):
     names = [it.id for it in live_nodes(cluster)]
     for name in names:
@@ -112,6 +121,7 @@
                    "new primary")
     verdict.expect(counts["reads_served_by_replicas"] > 0,
                    "reads were served by replicas")
+    verdict.expect(counts["timed_out"] == 0, "every request got an answer")
     wrong = checking.violations(counts)
     verdict.expect(not wrong, f"violations: {wrong or 'none'}")
     for example in counts["examples"][:5]:
@@ -127,6 +137,7 @@
     began = time.monotonic()
     run_failures(cluster, options.failures, spacing_s=4.0,
                  before_s=duration_s / 3)
+    change_groups(cluster)
     if options.stop_node:
         stop_node_under_load(cluster, verdict)
     left = began + duration_s - time.monotonic()
