Fix linter findings in the node backend and the upstream connection

Cause: the linter refuses the capture of a structured binding and a callback taken by value. Change: both are passed as it asks.

--- a/baobabpin/node/NodeBackend.cpp
+++ b/baobabpin/node/NodeBackend.cpp
@@ -205,17 +205,17 @@
     if (entry.Record.State == membership::MemberState::Dead)
       continue;
     ++gather->Left;
-    Peers->fetchEvents(
-        entry.Record.PeerEndpoint, request,
-        [gather, node](const std::optional<proto::TimelineReply> &reply) {
-          if (!reply) {
-            gather->Reply.Missing.push_back(node);
-          } else {
-            for (auto &it : operators::readTimeline(*reply))
-              gather->Reply.Events.push_back(std::move(it));
-          }
-          gather->finishOne();
-        });
+    Peers->fetchEvents(entry.Record.PeerEndpoint, request,
+                       [gather, node = node](
+                           const std::optional<proto::TimelineReply> &reply) {
+                         if (!reply) {
+                           gather->Reply.Missing.push_back(node);
+                         } else {
+                           for (auto &it : operators::readTimeline(*reply))
+                             gather->Reply.Events.push_back(std::move(it));
+                         }
+                         gather->finishOne();
+                       });
   }
   gather->finishOne();
 }
--- a/baobabpin/upstream/UpstreamConnection.h
+++ b/baobabpin/upstream/UpstreamConnection.h
@@ -29,10 +29,9 @@
   /// The callback runs once, later; it may destroy this connection.
   template <typename Request>
   void call(const Request &request, base::Duration timeout,
-            AnswerCallback callback) {
+            const AnswerCallback &callback) {
     std::uint64_t id = NextId++;
-    send(id, pathOf(request), encode(id, request), timeout,
-         std::move(callback));
+    send(id, pathOf(request), encode(id, request), timeout, callback);
   }
 
   bool isBusy() const { return Connection.isBusy(); }
