Judge a lost commit by the surviving history

Change: the trace shows the allowed case: the commit has no effect in the surviving history, and the caller is told so. failed with transaction_lost is now checked against the surviving history; all other failures, and not_run, are checked against every log as before. Tests for both sides.

--- a/standins/check/CheckerTest.cpp
+++ b/standins/check/CheckerTest.cpp
@@ -211,6 +211,23 @@
     story.add(again);
     CHECK(story.run().FalseFailed == 1);
   }
+  SUBCASE("a commit that is reported lost and survived") {
+    again.Outcome = "failed";
+    again.Error = "transaction_lost";
+    story.add(again);
+    CHECK(story.run().FalseFailed == 1);
+  }
+  SUBCASE("a failure whose entry a fenced primary discarded") {
+    story.Given.Servers[0].Discarded = {{1, 5, "w9"}};
+    HistoryRecord lost = write("w9", "PUT k k@9", 600);
+    lost.Outcome = "failed";
+    lost.Error = "statement_error";
+    story.add(lost);
+    CHECK(story.run().FalseFailed == 1);
+    // Only a lost commit may have run there; see the decision on transactions.
+    story.Given.Records.back().Error = "transaction_lost";
+    CHECK(story.run().FalseFailed == 0);
+  }
   SUBCASE("an acknowledged write that is gone") {
     story.add(write("w7", "PUT k k@7", 600));
     CHECK(story.run().LostAcknowledgedWrites == 1);
--- a/standins/check/WriteChecks.cpp
+++ b/standins/check/WriteChecks.cpp
@@ -60,6 +60,24 @@
   return false;
 }
 
+bool survives(const Case &it, const std::string &requestId) {
+  for (const auto &[name, group] : it.Groups) {
+    if (group.ByRequest.contains(requestId))
+      return true;
+  }
+  return false;
+}
+
+/// A commit that is reported lost may have run on a fenced primary, whose tail
+/// is discarded; it must not be in the surviving history. Any other failure is
+/// the database's own and leaves no entry anywhere.
+bool isFalseFailure(const Case &it, const HistoryRecord &record) {
+  if (record.Outcome != "failed")
+    return false;
+  return record.Error == "transaction_lost" ? survives(it, record.RequestId)
+                                            : isInSomeLog(it, record.RequestId);
+}
+
 /// An acknowledgement by a server under whose leadership the entry did not
 /// enter the surviving history.
 bool isByOldPrimary(const GroupHistory &group, const HistoryRecord &record) {
@@ -105,7 +123,7 @@
     return;
   if (record.Outcome == "not_run" && isInSomeLog(it, record.RequestId))
     noteViolation(it, report.FalseNotRun, "false_not_run", record);
-  if (record.Outcome == "failed" && isInSomeLog(it, record.RequestId))
+  if (isFalseFailure(it, record))
     noteViolation(it, report.FalseFailed, "false_failed", record);
   auto group = it.Groups.find(record.Group);
   if (record.Outcome == "answered" && group != it.Groups.end())
