Remove a second priority parser and share the handling of late requests

Cause: the read-through found admission::parsePriority beside the one of the resources package, with no caller; an unused member; and two copies of the loop that ends late requests, one of which ran callbacks while it changed its container. Change: the unused code is gone; one takeLate() serves both lists and requests are ended after it; queuedCount() replaces three sums. The gauge of queued requests and the group's status now count reads that wait for a slot too.

--- a/baobabpin/admission/RequestQueue.cpp
+++ b/baobabpin/admission/RequestQueue.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-constexpr std::array<std::string_view, PriorityCount> PriorityNames{
-    "urgent", "high", "normal", "low"};
-
 SessionRing &ringOf(RequestQueue &queue, Priority level, Lane lane) {
   return queue
       .Rings[static_cast<std::size_t>(level)][static_cast<std::size_t>(lane)];
@@ -69,14 +66,6 @@
 
 } // namespace
 
-std::optional<Priority> parsePriority(std::string_view name) {
-  for (std::size_t n = 0; n < PriorityCount; ++n) {
-    if (PriorityNames[n] == name)
-      return static_cast<Priority>(n);
-  }
-  return std::nullopt;
-}
-
 EnqueueResult enqueue(RequestQueue &queue, const QueuedRequest &request) {
   EnqueueResult result;
   if (queue.Size >= queue.Limits.Capacity) {
--- a/baobabpin/admission/RequestQueue.h
+++ b/baobabpin/admission/RequestQueue.h
@@ -16,7 +16,6 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -26,9 +25,6 @@
 enum class Priority : std::uint8_t { Urgent, High, Normal, Low };
 inline constexpr std::size_t PriorityCount = 4;
 
-/// Empty for an unknown name; names are "urgent", "high", "normal", "low".
-std::optional<Priority> parsePriority(std::string_view name);
-
 /// Which server a request needs.
 enum class Lane : std::uint8_t {
   Primary, ///< Only the primary may run it.
--- a/baobabpin/owner/GroupRunner.cpp
+++ b/baobabpin/owner/GroupRunner.cpp
@@ -54,6 +54,24 @@
 
 } // namespace
 
+namespace {
+
+/// Removes the requests whose deadline has passed. They are ended afterwards,
+/// because the callback of one may change the container.
+template <typename Container>
+std::vector<PendingPtr> takeLate(Container &requests, base::TimePoint now) {
+  std::vector<PendingPtr> late;
+  std::erase_if(requests, [&](const PendingPtr &it) {
+    if (it->Deadline > now)
+      return false;
+    late.push_back(it);
+    return true;
+  });
+  return late;
+}
+
+} // namespace
+
 proto::ForwardReply makeReply(Outcome outcome, ErrorType error,
                               const std::string &detail) {
   proto::ForwardReply reply;
@@ -185,7 +203,7 @@
     }
   } while (PumpAgain);
   Pumping = false;
-  Counters.Queued->Set(static_cast<double>(Queue.Size + Parked.size()));
+  Counters.Queued->Set(static_cast<double>(queuedCount()));
 }
 
 void GroupRunner::dispatch(const PendingPtr &pending) {
@@ -231,19 +249,9 @@
     refuse(entry.mapped(), ErrorType::DeadlineExceeded,
            "timed out in the queue");
   }
-  std::erase_if(SlotWaiters, [&](const PendingPtr &it) {
-    if (it->Deadline > now)
-      return false;
+  for (const auto &it : takeLate(SlotWaiters, now))
     refuse(it, ErrorType::DeadlineExceeded, "timed out in the queue");
-    return true;
-  });
-  std::vector<PendingPtr> late;
-  std::erase_if(Awaiting, [&](const PendingPtr &it) {
-    if (it->Deadline > now)
-      return false;
-    late.push_back(it);
-    return true;
-  });
+  auto late = takeLate(Awaiting, now);
   for (const auto &it : late) {
     // The statement ran, so even a read is not reported as not run.
     if (it->Proof == ProofKind::Age)
@@ -332,7 +340,7 @@
   nlohmann::json description{{"primary", primary ? primary->Primary : ""},
                              {"term", primary ? primary->Term : 0},
                              {"owner", Settings.Self},
-                             {"queued", Queue.Size + Parked.size()}};
+                             {"queued", queuedCount()}};
   for (const auto &it : State.Servers) {
     nlohmann::json server{
         {"id", it.Config.Id},
@@ -345,8 +353,7 @@
 }
 
 std::size_t GroupRunner::inFlight() const {
-  return Queued.size() + Parked.size() + SlotWaiters.size() + Awaiting.size() +
-         Sent + Transactions.size();
+  return queuedCount() + Awaiting.size() + Sent + Transactions.size();
 }
 
 } // namespace baobabpin::owner
--- a/baobabpin/owner/GroupRunner.h
+++ b/baobabpin/owner/GroupRunner.h
@@ -106,6 +106,10 @@
   void enqueuePending(const PendingPtr &pending);
   void pump();
   void dispatch(const PendingPtr &pending);
+  /// Requests that wait here for a server.
+  std::size_t queuedCount() const {
+    return Queued.size() + Parked.size() + SlotWaiters.size();
+  }
   void park(const PendingPtr &pending, base::Duration delay);
   void unpark(base::TimePoint now);
   void expire(base::TimePoint now);
@@ -114,7 +118,6 @@
               const std::string &detail);
   void finishUnknown(const PendingPtr &pending, base::ErrorType error);
   void answer(const PendingPtr &pending);
-  bool hasOpenTransactions() const { return !Transactions.empty(); }
 
   // ReadPath.cpp
   void dispatchRead(const PendingPtr &pending);
