--- /dev/null
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -0,0 +1,190 @@
+#include "baobabpin/cluster/ClusterView.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace baobabpin::cluster {
+namespace {
+
+using nlohmann::json;
+
+json toJson(const GroupRecord &it) {
+  return {{"epoch", it.Epoch},
+          {"primary", it.Primary},
+          {"moving", it.Moving},
+          {"mover", it.Mover},
+          {"token", it.Token}};
+}
+
+json toJson(const NodeRecord &it) {
+  return {{"incarnation", it.Incarnation},
+          {"peer", http::formatEndpoint(it.Peer)},
+          {"retired", it.Retired}};
+}
+
+json toJson(const DutyRecord &it) {
+  return {{"holder", it.Holder}, {"token", it.Token}};
+}
+
+GroupRecord groupFrom(const json &it) {
+  return {.Epoch = it.at("epoch").get<std::uint64_t>(),
+          .Primary = it.at("primary").get<std::string>(),
+          .Moving = it.at("moving").get<bool>(),
+          .Mover = it.at("mover").get<std::string>(),
+          .Token = it.at("token").get<std::uint64_t>()};
+}
+
+NodeRecord nodeFrom(const json &it) {
+  return {.Incarnation = it.at("incarnation").get<std::uint64_t>(),
+          .Peer = http::parseEndpoint(it.at("peer").get<std::string>()),
+          .Retired = it.at("retired").get<bool>()};
+}
+
+DutyRecord dutyFrom(const json &it) {
+  return {.Holder = it.at("holder").get<std::string>(),
+          .Token = it.at("token").get<std::uint64_t>()};
+}
+
+/// Changes one map of records; an older revision never replaces a newer one.
+template <typename T, typename Decode>
+void applyTo(std::map<std::string, Versioned<T>> &records,
+             const std::string &name, const store::StoreEntry &entry,
+             Decode decode) {
+  auto it = records.find(name);
+  if (it != records.end() && it->second.Revision >= entry.Revision)
+    return;
+  if (entry.Deleted) {
+    records.erase(name);
+    return;
+  }
+  records[name] = {decode(json::parse(entry.Value)), entry.Revision};
+}
+
+void applyChecked(ClusterView &view, const std::string &key,
+                  const store::StoreEntry &entry) {
+  const std::string groupPart = GroupKeyPart;
+  const std::string nodePart = NodeKeyPart;
+  if (key.starts_with(groupPart)) {
+    applyTo(view.Groups, key.substr(groupPart.size()), entry, groupFrom);
+    return;
+  }
+  if (key.starts_with(nodePart)) {
+    applyTo(view.Nodes, key.substr(nodePart.size()), entry, nodeFrom);
+    return;
+  }
+  if (key == DutyKeyPart && entry.Revision > view.Duty.Revision)
+    view.Duty = {entry.Deleted ? DutyRecord{} : dutyFrom(json::parse(entry.Value)),
+                 entry.Deleted ? 0 : entry.Revision};
+}
+
+template <typename T>
+json recordsToJson(const std::map<std::string, Versioned<T>> &records) {
+  json object = json::object();
+  for (const auto &[name, it] : records)
+    object[name] = {{"value", toJson(it.Value)}, {"revision", it.Revision}};
+  return object;
+}
+
+template <typename T, typename Decode>
+std::map<std::string, Versioned<T>> recordsFrom(const json &object,
+                                                Decode decode) {
+  std::map<std::string, Versioned<T>> records;
+  for (const auto &[name, it] : object.items())
+    records[name] = {decode(it.at("value")),
+                     it.at("revision").template get<std::uint64_t>()};
+  return records;
+}
+
+} // namespace
+
+std::string encodeRecord(const GroupRecord &it) { return toJson(it).dump(); }
+std::string encodeRecord(const NodeRecord &it) { return toJson(it).dump(); }
+std::string encodeRecord(const DutyRecord &it) { return toJson(it).dump(); }
+
+bool applyEntry(ClusterView &view, const std::string &prefix,
+                const store::StoreEntry &entry) {
+  if (!entry.Key.starts_with(prefix))
+    return false;
+  try {
+    applyChecked(view, entry.Key.substr(prefix.size()), entry);
+    return true;
+  } catch (const json::exception &) {
+    return false;
+  }
+}
+
+std::string encodeView(const ClusterView &view) {
+  json object{{"revision", view.Revision},
+              {"groups", recordsToJson(view.Groups)},
+              {"nodes", recordsToJson(view.Nodes)},
+              {"duty", toJson(view.Duty.Value)},
+              {"duty_revision", view.Duty.Revision}};
+  return object.dump();
+}
+
+ClusterView decodeView(const std::string &text) {
+  ClusterView view;
+  try {
+    json object = json::parse(text);
+    view.Groups = recordsFrom<GroupRecord>(object.at("groups"), groupFrom);
+    view.Nodes = recordsFrom<NodeRecord>(object.at("nodes"), nodeFrom);
+    view.Duty = {dutyFrom(object.at("duty")),
+                 object.at("duty_revision").get<std::uint64_t>()};
+    view.Revision = object.at("revision").get<std::uint64_t>();
+  } catch (const json::exception &) {
+    return {};
+  }
+  return view;
+}
+
+bool mergeView(ClusterView &view, ClusterView other) {
+  if (other.Revision < view.Revision)
+    return false;
+  auto validated = std::max(view.ValidatedAt, other.ValidatedAt);
+  bool changed = other.Revision > view.Revision;
+  if (changed)
+    view = std::move(other);
+  view.ValidatedAt = validated;
+  return changed;
+}
+
+std::string formatIdentity(const NodeIdentity &it) {
+  return it.Node + "/" + std::to_string(it.Incarnation);
+}
+
+std::string_view primaryUseName(PrimaryUse use) {
+  switch (use) {
+  case PrimaryUse::Allowed:
+    return "allowed";
+  case PrimaryUse::UnknownGroup:
+    return "unknown_group";
+  case PrimaryUse::Moving:
+    return "moving";
+  case PrimaryUse::LeaseExpired:
+    return "lease_expired";
+  case PrimaryUse::Unregistered:
+    break;
+  }
+  return "unregistered";
+}
+
+PrimaryUse checkPrimaryUse(const ClusterView &view, const NodeIdentity &self,
+                           const base::GroupName &group,
+                           std::uint64_t revokedEpoch, base::BootTime now) {
+  auto it = view.Groups.find(group);
+  if (it == view.Groups.end())
+    return PrimaryUse::UnknownGroup;
+  if (now - view.ValidatedAt >= PrimaryLease)
+    return PrimaryUse::LeaseExpired;
+  auto node = view.Nodes.find(self.Node);
+  if (node == view.Nodes.end() || node->second.Value.Retired ||
+      node->second.Value.Incarnation != self.Incarnation)
+    return PrimaryUse::Unregistered;
+  const GroupRecord &record = it->second.Value;
+  if (record.Moving || record.Epoch <= revokedEpoch)
+    return PrimaryUse::Moving;
+  return PrimaryUse::Allowed;
+}
+
+} // namespace baobabpin::cluster
--- /dev/null
+++ b/baobabpin/cluster/MoveDecision.h
@@ -0,0 +1,84 @@
+/// When a group gets another primary, and which node sees to it.
+#pragma once
+
+#include "baobabpin/base/BootClock.h"
+#include "baobabpin/base/Identifiers.h"
+#include "baobabpin/sql/Statement.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace baobabpin::cluster {
+
+/// A primary that has not answered for this long, although asked, is suspected.
+/// Probes need no slot at the server and are sent every 250 ms.
+inline constexpr std::chrono::milliseconds SuspectAfter{650};
+/// The same when connections to it fail at once.
+inline constexpr std::chrono::milliseconds SuspectUnreachableAfter{300};
+/// A peer that heard the primary within this time vouches for it.
+inline constexpr std::chrono::milliseconds VouchWithin{600};
+/// With fewer than half of the nodes in touch, a node acts alone only after
+/// this time.
+inline constexpr std::chrono::milliseconds LonelyAfter{2500};
+/// A move that makes no progress for this long is taken over.
+inline constexpr std::chrono::milliseconds StuckAfter{1200};
+
+/// What one node knows about a group's primary by itself.
+struct PrimaryObservation {
+  /// The primary is draining, or its registration is gone.
+  bool Leaving = false;
+  /// Time since it last answered; empty if it never did.
+  std::optional<std::chrono::nanoseconds> HeardAge;
+  bool Unreachable = false;
+};
+
+/// Whether it is worth asking the peers.
+bool isSuspect(const PrimaryObservation &own);
+
+/// What a peer reported.
+struct PeerEvidence {
+  std::string Node;
+  bool StoreReachable = false;
+  bool Moving = false;
+  std::optional<std::chrono::milliseconds> PrimaryHeard;
+};
+
+struct MoveQuestion {
+  std::string Self;
+  bool SelfStoreReachable = false;
+  PrimaryObservation Own;
+  /// Replies of the peers that could be reached.
+  std::vector<PeerEvidence> Peers;
+  std::size_t RegisteredPeers = 0;
+  /// Present holder of the duty, by node name.
+  std::string DutyHolder;
+  /// The group is already being moved, by a node that seems stuck.
+  bool TakeOver = false;
+};
+
+enum class MoveVerdict {
+  Stay,     ///< The primary is fine, or another node already moves the group.
+  LeaveIt,  ///< A move is needed; another node is to do it.
+  MoveNow,  ///< This node moves the group.
+  NotSure,  ///< Too few nodes in touch to tell; ask again.
+};
+
+std::string_view moveVerdictName(MoveVerdict verdict);
+
+MoveVerdict decideMove(const MoveQuestion &question);
+
+/// A server that could become the primary.
+struct Candidate {
+  base::ServerId Server;
+  sql::ServerStatus Status;
+  bool Leaving = false;
+  /// The present primary; kept only when there is no other choice.
+  bool Present = false;
+};
+
+/// The candidate that loses the fewest commits; empty if there is none.
+std::optional<Candidate> choosePrimary(const std::vector<Candidate> &candidates);
+
+} // namespace baobabpin::cluster
--- a/baobabpin/configsync/ConfigSyncService.cpp
+++ b/baobabpin/configsync/ConfigSyncService.cpp
@@ -4,8 +4,8 @@
 #include "baobabpin/configsync/StoreWriter.h"
 #include "baobabpin/configsync/Watchers.h"
 #include "baobabpin/membership/MembershipService.h"
-#include "baobabpin/platform/HostList.h"
-#include "baobabpin/platform/PrefixWatch.h"
+#include "baobabpin/store/HostList.h"
+#include "baobabpin/store/PrefixWatch.h"
 
 #include <algorithm>
 #include <random>
@@ -18,7 +18,7 @@
 using base::Duration;
 using base::TimePoint;
 using membership::ConfigDigest;
-using platform::StoreEntry;
+using store::StoreEntry;
 
 /// Random members that hear of a new revision at once; 4 reach 4,300 nodes in
 /// about 7 rounds.
@@ -56,10 +56,10 @@
   ConfigSyncSettings Settings;
   kernel::Kernel *Kernel = nullptr;
   membership::MembershipService *Membership = nullptr;
-  std::unique_ptr<platform::StoreClient> Store;
+  std::unique_ptr<store::StoreClient> Store;
   std::unique_ptr<StoreWriter> Writer;
-  std::unique_ptr<platform::PrefixWatch> Watch;
-  std::unique_ptr<platform::HostList> Hosts;
+  std::unique_ptr<store::PrefixWatch> Watch;
+  std::unique_ptr<store::HostList> Hosts;
   std::unique_ptr<PeerClient> Peers;
   kernel::Timer Ticker;
   std::vector<std::function<void(const ConfigRecord &)>> Callbacks;
@@ -110,10 +110,10 @@
 void ConfigSyncService::State::startParts() {
   auto &loop = Kernel->loop();
   std::random_device random;
-  Store = std::make_unique<platform::StoreClient>(
+  Store = std::make_unique<store::StoreClient>(
       loop, Kernel->metrics(), Settings.Store, Settings.StoreTimeouts);
   Writer = std::make_unique<StoreWriter>(loop, *Store);
-  platform::WatchHandlers handlers;
+  store::WatchHandlers handlers;
   handlers.OnSnapshot = [this](const auto &entries, std::uint64_t revision) {
     std::uint64_t before = Copy.CompleteRevision;
     publish(applySnapshot(Copy, toRecords(entries), revision), before);
@@ -125,9 +125,9 @@
   handlers.OnAvailability = [this](bool available) {
     Kernel->log().record(available ? "store_available" : "store_unavailable");
   };
-  Watch = std::make_unique<platform::PrefixWatch>(
+  Watch = std::make_unique<store::PrefixWatch>(
       loop, *Store, std::string(ResourcePrefix), std::move(handlers), random());
-  Hosts = std::make_unique<platform::HostList>(
+  Hosts = std::make_unique<store::HostList>(
       loop, *Store, Settings.HostListPeriod,
       [this](const std::string &host) { Membership->sendHostLeaving(host); },
       random());
@@ -378,8 +378,8 @@
     const std::string &key, std::function<void(bool available)> callback) {
   // A range states the store's revision even when the key does not exist.
   Impl->Store->range(key, [this, key, callback = std::move(callback)](
-                              const platform::StoreReply &reply) {
-    if (reply.Status != platform::StoreStatus::Ok) {
+                              const store::StoreReply &reply) {
+    if (reply.Status != store::StoreStatus::Ok) {
       callback(false);
       return;
     }
--- a/baobabpin/configsync/ConfigSyncService.h
+++ b/baobabpin/configsync/ConfigSyncService.h
@@ -12,7 +12,7 @@
 #include "baobabpin/configsync/StoreWrite.h"
 #include "baobabpin/http/HttpClient.h"
 #include "baobabpin/kernel/Kernel.h"
-#include "baobabpin/platform/StoreClient.h"
+#include "baobabpin/store/StoreClient.h"
 
 #include <functional>
 #include <memory>
@@ -27,7 +27,7 @@
 
 struct ConfigSyncSettings {
   http::Endpoint Store;
-  platform::StoreTimeouts StoreTimeouts = {};
+  store::StoreTimeouts StoreTimeouts = {};
   std::chrono::milliseconds HostListPeriod{2000};
   /// A starting node does not watch the store before this time: until it knows
   /// its zone's members, every node ranks itself first.
--- a/baobabpin/configsync/ConfigSyncServiceTest.cpp
+++ b/baobabpin/configsync/ConfigSyncServiceTest.cpp
@@ -2,7 +2,7 @@
 
 #include "baobabpin/membership/MembershipService.h"
 #include "baobabpin/peer/PeerService.h"
-#include "baobabpin/platform/FakeStore.h"
+#include "baobabpin/store/FakeStore.h"
 
 #include <doctest/doctest.h>
 
@@ -14,7 +14,7 @@
 
 using namespace std::chrono_literals;
 using membership::MembershipService;
-using platform::testing::FakeStore;
+using store::testing::FakeStore;
 
 /// A node with the services that configsync works with.
 class TestNode {
--- a/baobabpin/configsync/StoreWrite.cpp
+++ b/baobabpin/configsync/StoreWrite.cpp
@@ -3,9 +3,9 @@
 namespace baobabpin::configsync {
 namespace {
 
-using platform::StoreEntry;
-using platform::StoreReply;
-using platform::StoreStatus;
+using store::StoreEntry;
+using store::StoreReply;
+using store::StoreStatus;
 
 WriteDecision done(WriteStatus status, std::uint64_t revision = 0,
                    std::optional<std::string> current = std::nullopt) {
--- a/baobabpin/configsync/StoreWrite.h
+++ b/baobabpin/configsync/StoreWrite.h
@@ -4,7 +4,7 @@
 /// back equals the written one only if this very write took effect.
 #pragma once
 
-#include "baobabpin/platform/StoreClient.h"
+#include "baobabpin/store/StoreClient.h"
 
 #include <cstdint>
 #include <optional>
@@ -55,10 +55,10 @@
 };
 
 /// After the answer to the write itself.
-WriteDecision afterWrite(StoreWrite &write, const platform::StoreReply &reply);
+WriteDecision afterWrite(StoreWrite &write, const store::StoreReply &reply);
 
 /// After a range read that begins with the key.
 WriteDecision afterReadBack(StoreWrite &write,
-                            const platform::StoreReply &reply);
+                            const store::StoreReply &reply);
 
 } // namespace baobabpin::configsync
--- a/baobabpin/configsync/StoreWriteTest.cpp
+++ b/baobabpin/configsync/StoreWriteTest.cpp
@@ -5,8 +5,8 @@
 namespace baobabpin::configsync {
 namespace {
 
-using platform::StoreReply;
-using platform::StoreStatus;
+using store::StoreReply;
+using store::StoreStatus;
 
 StoreReply readBack(const std::string &value, std::uint64_t revision) {
   StoreReply reply{StoreStatus::Ok, revision + 1};
--- a/baobabpin/configsync/StoreWriter.cpp
+++ b/baobabpin/configsync/StoreWriter.cpp
@@ -3,13 +3,13 @@
 namespace baobabpin::configsync {
 namespace {
 
-using platform::StoreReply;
+using store::StoreReply;
 
 constexpr std::chrono::milliseconds ReadBackDelay{300};
 
 } // namespace
 
-StoreWriter::StoreWriter(kernel::EventLoop &loop, platform::StoreClient &store)
+StoreWriter::StoreWriter(kernel::EventLoop &loop, store::StoreClient &store)
     : Loop(loop), Store(store) {}
 
 void StoreWriter::submit(StoreWrite write, Callback callback) {
--- a/baobabpin/configsync/StoreWriter.h
+++ b/baobabpin/configsync/StoreWriter.h
@@ -15,7 +15,7 @@
   using Callback = std::function<void(const StoreWrite &, const WriteResult &)>;
 
   /// \p store must outlive this object.
-  StoreWriter(kernel::EventLoop &loop, platform::StoreClient &store);
+  StoreWriter(kernel::EventLoop &loop, store::StoreClient &store);
 
   /// The callback runs once, later, on the loop, unless the store's client is
   /// destroyed before.
@@ -34,7 +34,7 @@
   void proceed(const JobPtr &job, const WriteDecision &decision);
 
   kernel::EventLoop &Loop;
-  platform::StoreClient &Store;
+  store::StoreClient &Store;
   std::map<JobPtr, kernel::Timer> Delayed;
 };
 
--- /dev/null
+++ b/baobabpin/control/ClusterService.cpp
@@ -0,0 +1,466 @@
+#include "baobabpin/control/ClusterService.h"
+
+#include "platform/Documents.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabpin::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Between two reads of the shared records; several fit into PrimaryLease.
+constexpr milliseconds RecordsPeriod{1000};
+constexpr milliseconds ServersPeriod{1000};
+/// A watch on a silent connection is noticed after this and a call's timeout,
+/// within the time in which a configuration must be in force.
+constexpr milliseconds ConfigWait{1500};
+/// A view of this age makes the node ask its peers.
+constexpr milliseconds RelayAge{1600};
+constexpr milliseconds TickPeriod{150};
+constexpr milliseconds SyncPeriod{400};
+constexpr milliseconds SyncTimeout{500};
+/// The store puts lapsed entries back within two seconds of an outage.
+constexpr milliseconds GoneDelay{2500};
+/// A change whose reply was lost may take effect this much later.
+constexpr milliseconds LateChangeLimit{6500};
+constexpr milliseconds StoreReachableAge{2600};
+
+} // namespace
+
+/// One round of asking all peers.
+struct ClusterService::SyncRound {
+  base::BootTime SentAt{};
+  std::size_t Outstanding = 0;
+  /// Every registered peer answered and knows of no newer records.
+  bool AllConfirm = true;
+};
+
+ClusterService::ClusterService(platform::HostSettings settings,
+                               kernel::LineLog &log)
+    : Settings(std::move(settings)), Log(log) {
+  auto ms = std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  Self = {Settings.Node, static_cast<std::uint64_t>(ms.count())};
+}
+
+ClusterService::~ClusterService() = default;
+
+base::Result<void> ClusterService::start(kernel::Kernel &kernel) {
+  Kernel = &kernel;
+  auto &loop = kernel.loop();
+  Store = std::make_unique<platform::PlatformStore>(loop, kernel.metrics(),
+                                                    Settings.Store);
+  Caller = std::make_unique<PeerCaller>(loop);
+  PeerServer = std::make_unique<http::HttpServer>(loop);
+  servePeers();
+  BOOST_LEAF_CHECK(PeerServer->listen(Settings.Peers));
+  auto onAvailability = [this](const char *what) {
+    return [this, what](bool available) {
+      Log.line(available ? "store_regained" : "store_lost")
+          .add("follows", what)
+          .add("view_age_ms", viewAge());
+    };
+  };
+  OwnFollower = std::make_unique<PrefixFollower>(
+      loop, *Store,
+      FollowSettings{platform::OwnPrefix, FollowMode::Poll, RecordsPeriod},
+      FollowHandlers{[this](const auto &entries, auto revision, auto sentAt) {
+                       onOwnRecords(entries, revision, sentAt);
+                     },
+                     nullptr, onAvailability("records")});
+  ServersFollower = std::make_unique<PrefixFollower>(
+      loop, *Store,
+      FollowSettings{platform::ServersPrefix, FollowMode::Poll, ServersPeriod},
+      FollowHandlers{
+          [this](const auto &entries, auto, auto) { onServers(entries); },
+          nullptr, onAvailability("servers")});
+  ConfigFollower = std::make_unique<PrefixFollower>(
+      loop, *Store,
+      FollowSettings{platform::ConfigurationKey, FollowMode::Watch, ConfigWait},
+      FollowHandlers{
+          [this](const auto &entries, auto, auto) { onConfiguration(entries); },
+          [this](const auto &entries, auto) { onConfiguration(entries); },
+          onAvailability("configuration")});
+  OwnFollower->start();
+  ServersFollower->start();
+  ConfigFollower->start();
+  Ticker = loop.runEvery(TickPeriod, [this] { tick(); });
+  return {};
+}
+
+void ClusterService::stop() {
+  Ticker.cancel();
+  PeerServer.reset();
+  OwnFollower.reset();
+  ServersFollower.reset();
+  ConfigFollower.reset();
+}
+
+void ClusterService::subscribe(std::function<void()> listener) {
+  Listeners.push_back(std::move(listener));
+}
+
+void ClusterService::notify() {
+  for (const auto &it : Listeners)
+    it();
+}
+
+const cluster::Configuration *ClusterService::configuration() const {
+  return Config ? &*Config : nullptr;
+}
+
+std::optional<base::BootTime>
+ClusterService::leavingSince(const base::ServerId &id) const {
+  auto it = LeavingSince.find(id);
+  return it == LeavingSince.end() ? std::nullopt : std::optional(it->second);
+}
+
+cluster::PrimaryUse
+ClusterService::primaryUse(const base::GroupName &group) const {
+  auto it = RevokedEpochs.find(group);
+  std::uint64_t revoked = it == RevokedEpochs.end() ? 0 : it->second;
+  return cluster::checkPrimaryUse(View, Self, group, revoked,
+                                  base::BootClock::now());
+}
+
+std::chrono::nanoseconds ClusterService::viewAge() const {
+  return base::BootClock::now() - View.ValidatedAt;
+}
+
+bool ClusterService::isStoreReachable() const {
+  return base::BootClock::now() - StoreConfirmedAt < StoreReachableAge;
+}
+
+std::vector<PeerNode> ClusterService::peers() const {
+  std::vector<PeerNode> list;
+  for (const auto &[name, it] : View.Nodes) {
+    if (name != Self.Node)
+      list.push_back({name, it.Value.Peer});
+  }
+  return list;
+}
+
+void ClusterService::onOwnRecords(const std::vector<store::StoreEntry> &entries,
+                                  std::uint64_t revision,
+                                  base::BootTime sentAt) {
+  cluster::ClusterView fresh;
+  for (const auto &it : entries) {
+    if (!cluster::applyEntry(fresh, platform::OwnPrefix, it))
+      Log.line("record_unreadable").add("key", it.Key);
+  }
+  fresh.Revision = revision;
+  fresh.ValidatedAt = sentAt;
+  StoreConfirmedAt = std::max(StoreConfirmedAt, sentAt);
+  adoptView(std::move(fresh), "store");
+  ensureRegistered();
+}
+
+void ClusterService::adoptView(cluster::ClusterView view,
+                               std::string_view source) {
+  auto before = View.Groups;
+  if (!cluster::mergeView(View, std::move(view)))
+    return;
+  bool changed = false;
+  for (const auto &[group, it] : View.Groups) {
+    auto old = before.find(group);
+    if (old != before.end() && old->second.Value == it.Value)
+      continue;
+    changed = true;
+    Log.line("group_record")
+        .add("group", group)
+        .add("epoch", static_cast<std::int64_t>(it.Value.Epoch))
+        .add("primary", it.Value.Primary)
+        .add("moving", it.Value.Moving ? "yes" : "no")
+        .add("mover", it.Value.Mover)
+        .add("token", static_cast<std::int64_t>(it.Value.Token))
+        .add("source", source)
+        .add("revision", static_cast<std::int64_t>(View.Revision));
+  }
+  notify();
+  (void)changed;
+}
+
+void ClusterService::onServers(const std::vector<store::StoreEntry> &entries) {
+  auto now = base::BootClock::now();
+  std::map<base::ServerId, cluster::ServerRegistration> fresh;
+  for (const auto &it : entries) {
+    auto server = platform::parseRegistration(it.Key, it.Value);
+    if (server)
+      fresh.emplace(server->Id, *server);
+  }
+  bool changed = false;
+  for (const auto &[id, it] : fresh) {
+    auto [known, added] = Servers.emplace(id, it);
+    if (!added && known->second == it)
+      continue;
+    changed = true;
+    known->second = it;
+    Log.line("server_registered")
+        .add("server", id)
+        .add("group", it.Group)
+        .add("address", http::formatEndpoint(it.Address))
+        .add("zone", it.Zone)
+        .add("role", it.Role == sql::ServerRole::Primary ? "primary" : "replica")
+        .add("state", it.Draining ? "draining" : "ready");
+  }
+  for (const auto &[id, it] : Servers) {
+    auto entry = fresh.find(id);
+    if (entry != fresh.end() && !entry->second.Draining)
+      LeavingSince.erase(id);
+    else
+      LeavingSince.emplace(id, now);
+  }
+  for (const auto &[id, since] : LeavingSince) {
+    if (fresh.contains(id) || now - since < GoneDelay || !Servers.contains(id))
+      continue;
+    changed = true;
+    Servers.erase(id);
+    Log.line("server_gone").add("server", id).add("missing_ms", now - since);
+  }
+  std::erase_if(LeavingSince,
+                [&](const auto &it) { return !Servers.contains(it.first); });
+  if (changed)
+    notify();
+}
+
+void ClusterService::onConfiguration(
+    const std::vector<store::StoreEntry> &entries) {
+  for (const auto &it : entries) {
+    if (it.Key != platform::ConfigurationKey || it.Deleted)
+      continue;
+    if (adoptConfiguration(it.Value, "store"))
+      notify();
+  }
+}
+
+bool ClusterService::adoptConfiguration(const std::string &document,
+                                        std::string_view source) {
+  auto fresh = platform::parseConfiguration(document);
+  if (!fresh) {
+    Log.line("configuration_unreadable").add("source", source);
+    return false;
+  }
+  // A configuration in force never gives way to an older one.
+  if (Config && fresh->Version <= Config->Version)
+    return false;
+  Log.line("configuration_applied")
+      .add("version", static_cast<std::int64_t>(fresh->Version))
+      .add("routes", static_cast<std::int64_t>(fresh->RoutesByDatabase.size()))
+      .add("source", source);
+  Config = std::move(fresh);
+  ConfigDocument = document;
+  return true;
+}
+
+void ClusterService::ensureRegistered() {
+  auto it = View.Nodes.find(Self.Node);
+  bool registered = it != View.Nodes.end() && !it->second.Value.Retired &&
+                    it->second.Value.Incarnation == Self.Incarnation;
+  if (registered || Registering || Leaving)
+    return;
+  Registering = true;
+  cluster::NodeRecord record{Self.Incarnation, Settings.Peers, false};
+  std::uint64_t revision = it == View.Nodes.end() ? 0 : it->second.Revision;
+  change({{std::string(platform::OwnPrefix) + cluster::NodeKeyPart + Self.Node,
+           cluster::encodeRecord(record), revision, false}},
+         [this](const store::StoreReply &reply) {
+           Registering = false;
+           Log.line("node_registered")
+               .add("result", store::storeStatusName(reply.Status));
+         });
+}
+
+void ClusterService::removeRegistration() {
+  Leaving = true;
+  auto it = View.Nodes.find(Self.Node);
+  if (it == View.Nodes.end() ||
+      it->second.Value.Incarnation != Self.Incarnation)
+    return;
+  change({{std::string(platform::OwnPrefix) + cluster::NodeKeyPart + Self.Node,
+           {},
+           it->second.Revision,
+           true}},
+         [](const store::StoreReply &) {});
+}
+
+void ClusterService::change(const std::vector<platform::KeyChange> &changes,
+                            store::StoreCallback callback) {
+  ++ChangesPending;
+  Store->change(changes, [this, callback](const store::StoreReply &reply) {
+    --ChangesPending;
+    if (reply.Status == store::StoreStatus::Unknown)
+      UncertainUntil = base::BootClock::now() + LateChangeLimit;
+    OwnFollower->refresh();
+    callback(reply);
+  });
+}
+
+void ClusterService::revoke(const base::GroupName &group,
+                            std::uint64_t epoch) {
+  auto &revoked = RevokedEpochs[group];
+  if (epoch <= revoked)
+    return;
+  revoked = epoch;
+  Log.line("primary_use_revoked")
+      .add("group", group)
+      .add("epoch", static_cast<std::int64_t>(epoch))
+      .add("view_age_ms", viewAge());
+  notify();
+}
+
+void ClusterService::wantPositions() { PositionsWanted = true; }
+
+void ClusterService::tick() {
+  auto now = base::BootClock::now();
+  bool stale = now - View.ValidatedAt > RelayAge || !Config;
+  if ((stale || PositionsWanted) && !SyncRunning && now - LastSync > SyncPeriod)
+    syncWithPeers();
+}
+
+void ClusterService::syncWithPeers() {
+  auto now = base::BootClock::now();
+  LastSync = now;
+  PositionsWanted = false;
+  auto round = std::make_shared<SyncRound>();
+  round->SentAt = now;
+  auto targets = peers();
+  // Without a list of nodes, the settings name a few.
+  if (targets.empty()) {
+    round->AllConfirm = false;
+    for (const auto &it : Settings.Seeds) {
+      if (it != Settings.Peers)
+        targets.push_back({{}, it});
+    }
+  }
+  if (targets.empty())
+    return;
+  SyncRunning = true;
+  round->Outstanding = targets.size();
+  std::string body = encode(SyncRequest{
+      Self.Node, View.Revision, Config ? Config->Version : 0, {}});
+  for (const auto &it : targets) {
+    Caller->call(it.Endpoint, SyncPath, body, SyncTimeout,
+                 [this, round, peer = it.Name](const auto &reply) {
+                   onSyncReply(round, peer, reply);
+                 });
+  }
+}
+
+void ClusterService::onSyncReply(const std::shared_ptr<SyncRound> &round,
+                                 const std::string &peer,
+                                 const std::optional<std::string> &body) {
+  auto reply = body ? decodeSyncReply(*body) : std::nullopt;
+  if (!reply || reply->ChangePending)
+    round->AllConfirm = false;
+  if (reply) {
+    if (!reply->Config.empty() && adoptConfiguration(reply->Config, peer))
+      notify();
+    bool newer = reply->ViewRevision > View.Revision;
+    if (newer && !reply->View.empty()) {
+      auto view = cluster::decodeView(reply->View);
+      view.ValidatedAt = round->SentAt - reply->ViewAge;
+      adoptView(std::move(view), peer);
+      // Peers that replied before may not know of these records.
+      round->AllConfirm = false;
+    } else if (reply->ViewRevision == View.Revision) {
+      View.ValidatedAt =
+          std::max(View.ValidatedAt, round->SentAt - reply->ViewAge);
+    }
+    for (const auto &[group, it] : reply->Positions) {
+      if (Hooks.OnPeerPosition)
+        Hooks.OnPeerPosition(group, it.Epoch, it.Position,
+                             round->SentAt - it.Age);
+    }
+  }
+  if (--round->Outstanding == 0)
+    finishRound(*round);
+}
+
+void ClusterService::finishRound(const SyncRound &round) {
+  SyncRunning = false;
+  if (!round.AllConfirm || ChangesPending > 0 || View.Revision == 0 ||
+      base::BootClock::now() < UncertainUntil)
+    return;
+  if (round.SentAt > View.ValidatedAt)
+    View.ValidatedAt = round.SentAt;
+}
+
+void ClusterService::pushView() {
+  std::string body = encode(SyncRequest{Self.Node, View.Revision,
+                                        Config ? Config->Version : 0,
+                                        cluster::encodeView(View)});
+  for (const auto &it : peers())
+    Caller->call(it.Endpoint, SyncPath, body, SyncTimeout,
+                 [](const auto &) {});
+}
+
+void ClusterService::servePeers() {
+  PeerServer->handle(SyncPath, [this](http::HttpRequest request,
+                                      http::ResponderPtr responder) {
+    onSync(request.Body, responder);
+  });
+  PeerServer->handle(RevokePath, [this](http::HttpRequest request,
+                                        http::ResponderPtr responder) {
+    onRevoke(request.Body, responder);
+  });
+  PeerServer->handle(EvidencePath, [this](http::HttpRequest request,
+                                          http::ResponderPtr responder) {
+    onEvidence(request.Body, responder);
+  });
+}
+
+void ClusterService::onSync(const std::string &body,
+                            const http::ResponderPtr &responder) {
+  auto request = decodeSyncRequest(body);
+  if (!request) {
+    responder->json(400, "{}");
+    return;
+  }
+  // A pushed view says nothing about its age, so it does not extend the lease.
+  if (!request->View.empty())
+    adoptView(cluster::decodeView(request->View), request->Node);
+  SyncReply reply;
+  reply.ViewRevision = View.Revision;
+  if (View.Revision > request->ViewRevision)
+    reply.View = cluster::encodeView(View);
+  reply.ViewAge = std::chrono::ceil<milliseconds>(viewAge());
+  if (Config && Config->Version > request->ConfigVersion)
+    reply.Config = ConfigDocument;
+  reply.ChangePending =
+      ChangesPending > 0 || base::BootClock::now() < UncertainUntil;
+  if (Hooks.Positions)
+    reply.Positions = Hooks.Positions();
+  responder->json(200, encode(reply));
+}
+
+void ClusterService::onRevoke(const std::string &body,
+                              const http::ResponderPtr &responder) {
+  auto request = decodeRevokeRequest(body);
+  if (!request) {
+    responder->json(400, "{}");
+    return;
+  }
+  revoke(request->Group, request->Epoch);
+  if (!request->View.empty())
+    adoptView(cluster::decodeView(request->View), "revoke");
+  Hooks.DrainPrimary(request->Group,
+                     [responder] { responder->json(200, "{}"); });
+}
+
+void ClusterService::onEvidence(const std::string &body,
+                                const http::ResponderPtr &responder) {
+  auto group = decodeGroupName(body);
+  if (!group) {
+    responder->json(400, "{}");
+    return;
+  }
+  if (Hooks.OnEvidenceAsked)
+    Hooks.OnEvidenceAsked(*group);
+  EvidenceReply reply{Hooks.PrimaryHeard(*group), isStoreReachable(),
+                      Hooks.IsMoving(*group)};
+  responder->json(200, encode(reply));
+}
+
+} // namespace baobabpin::control
--- /dev/null
+++ b/baobabpin/control/ClusterService.h
@@ -0,0 +1,149 @@
+/// What this node shares with the others: the records in the store, the
+/// configuration, the servers' registrations, and the calls of peers.
+///
+/// While the store does not answer this node, it learns from its peers: any
+/// peer with a fresher view relays it. When no peer reaches the store either,
+/// all registered peers together confirm the view: each of them would have to
+/// write to the store, and then wait for this node, before a primary changes.
+#pragma once
+
+#include "baobabpin/cluster/ClusterView.h"
+#include "baobabpin/control/PeerCalls.h"
+#include "baobabpin/control/PrefixFollower.h"
+#include "baobabpin/http/HttpServer.h"
+#include "baobabpin/kernel/Kernel.h"
+#include "baobabpin/kernel/LineLog.h"
+#include "platform/PlatformStore.h"
+#include "platform/Settings.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace baobabpin::control {
+
+/// What other services of this node contribute to the peers' calls.
+struct ClusterHooks {
+  /// Time since the group's primary last answered this node.
+  std::function<std::optional<std::chrono::milliseconds>(
+      const base::GroupName &)>
+      PrimaryHeard;
+  /// Calls back when no commit is in flight at the group's primary any more, or
+  /// after a short time.
+  std::function<void(const base::GroupName &, std::function<void()>)>
+      DrainPrimary;
+  std::function<std::map<base::GroupName, PositionReport>()> Positions;
+  /// A peer knows \p position of the primary of \p epoch, as of \p since.
+  std::function<void(const base::GroupName &, std::uint64_t epoch,
+                     base::LogPosition position, base::BootTime since)>
+      OnPeerPosition;
+  /// Whether this node is moving the group.
+  std::function<bool(const base::GroupName &)> IsMoving;
+  /// A peer finds that the group's primary should be checked.
+  std::function<void(const base::GroupName &)> OnEvidenceAsked;
+};
+
+struct PeerNode {
+  std::string Name;
+  http::Endpoint Endpoint;
+};
+
+class ClusterService : public kernel::Service {
+public:
+  ClusterService(platform::HostSettings settings, kernel::LineLog &log);
+  ~ClusterService() override;
+
+  std::string_view name() const override { return "cluster"; }
+  base::Result<void> start(kernel::Kernel &kernel) override;
+  void stop() override;
+
+  ClusterHooks Hooks;
+  /// Called after the view, the configuration or the servers changed.
+  void subscribe(std::function<void()> listener);
+
+  const cluster::NodeIdentity &self() const { return Self; }
+  const cluster::ClusterView &view() const { return View; }
+  /// Null until a configuration is known.
+  const cluster::Configuration *configuration() const;
+  const std::map<base::ServerId, cluster::ServerRegistration> &servers() const {
+    return Servers;
+  }
+  /// When a server's registration was first missing or draining.
+  std::optional<base::BootTime> leavingSince(const base::ServerId &id) const;
+  cluster::PrimaryUse primaryUse(const base::GroupName &group) const;
+  std::chrono::nanoseconds viewAge() const;
+  /// The store itself confirmed the view recently.
+  bool isStoreReachable() const;
+  /// Registered nodes but this one.
+  std::vector<PeerNode> peers() const;
+
+  /// Changes records; the outcome of a lost reply is Unknown. The view is read
+  /// again afterwards.
+  void change(const std::vector<platform::KeyChange> &changes,
+              store::StoreCallback callback);
+  /// Stops this node from using the primaries of the group up to \p epoch.
+  void revoke(const base::GroupName &group, std::uint64_t epoch);
+  /// Sends this node's view to all peers.
+  void pushView();
+  /// Asks peers for positions, at most every PeerPositionPeriod.
+  void wantPositions();
+  PeerCaller &caller() { return *Caller; }
+  void removeRegistration();
+
+private:
+  struct SyncRound;
+
+  void servePeers();
+  void onSync(const std::string &body, const http::ResponderPtr &responder);
+  void onRevoke(const std::string &body, const http::ResponderPtr &responder);
+  void onEvidence(const std::string &body, const http::ResponderPtr &responder);
+  void onOwnRecords(const std::vector<store::StoreEntry> &entries,
+                    std::uint64_t revision, base::BootTime sentAt);
+  void onServers(const std::vector<store::StoreEntry> &entries);
+  void onConfiguration(const std::vector<store::StoreEntry> &entries);
+  bool adoptConfiguration(const std::string &document,
+                          std::string_view source);
+  void adoptView(cluster::ClusterView view, std::string_view source);
+  void ensureRegistered();
+  void tick();
+  void syncWithPeers();
+  void onSyncReply(const std::shared_ptr<SyncRound> &round,
+                   const std::string &peer,
+                   const std::optional<std::string> &body);
+  void finishRound(const SyncRound &round);
+  void notify();
+  std::map<base::GroupName, PositionReport> positions() const;
+
+  platform::HostSettings Settings;
+  kernel::LineLog &Log;
+  kernel::Kernel *Kernel = nullptr;
+  cluster::NodeIdentity Self;
+  std::unique_ptr<platform::PlatformStore> Store;
+  std::unique_ptr<PrefixFollower> OwnFollower;
+  std::unique_ptr<PrefixFollower> ServersFollower;
+  std::unique_ptr<PrefixFollower> ConfigFollower;
+  std::unique_ptr<http::HttpServer> PeerServer;
+  std::unique_ptr<PeerCaller> Caller;
+  std::vector<std::function<void()>> Listeners;
+  cluster::ClusterView View;
+  std::map<base::GroupName, std::uint64_t> RevokedEpochs;
+  std::optional<cluster::Configuration> Config;
+  std::string ConfigDocument;
+  std::map<base::ServerId, cluster::ServerRegistration> Servers;
+  std::map<base::ServerId, base::BootTime> LeavingSince;
+  base::BootTime StoreConfirmedAt{};
+  base::BootTime LastSync{};
+  bool PositionsWanted = false;
+  bool SyncRunning = false;
+  bool Registering = false;
+  bool Leaving = false;
+  int ChangesPending = 0;
+  /// Until then a change whose reply was lost may still take effect.
+  base::BootTime UncertainUntil{};
+  kernel::Timer Ticker;
+};
+
+} // namespace baobabpin::control
--- /dev/null
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -0,0 +1,246 @@
+#include "baobabpin/frontend/GroupProxy.h"
+
+#include "baobabpin/cluster/ReplicaChoice.h"
+#include "platform/Wire.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabpin::frontend {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Several probes fit into SuspectAfter, and samples stay fine enough for every
+/// staleness.
+constexpr milliseconds ProbePeriod{250};
+/// A probe needs no slot, so a healthy server replies in a few milliseconds.
+constexpr milliseconds ProbeTimeout{450};
+/// How long a move waits for commits in flight at the old primary.
+constexpr milliseconds DrainLimit{200};
+
+} // namespace
+
+GroupProxy::GroupProxy(kernel::EventLoop &loop,
+                       control::ClusterService &cluster, base::GroupName name,
+                       base::AvailabilityZone zone)
+    : Loop(loop), Cluster(cluster), Name(std::move(name)),
+      Zone(std::move(zone)) {}
+
+GroupProxy::~GroupProxy() = default;
+
+void GroupProxy::refresh() {
+  const auto *config = Cluster.configuration();
+  int limit = 1;
+  if (config && config->Groups.contains(Name))
+    limit = config->Groups.at(Name).MaxConnections;
+  auto share = pooling::shareConnections(
+      limit, static_cast<int>(Cluster.peers().size()) + 1);
+  for (const auto &[id, server] : Cluster.servers()) {
+    if (server.Group != Name)
+      continue;
+    auto &pool = Pools[id];
+    if (pool && pool->server().Address != server.Address) {
+      pool->shutDown();
+      Retiring.push_back(std::exchange(pool, nullptr));
+    }
+    if (!pool)
+      pool = std::make_shared<pooling::ServerPool>(Loop, server);
+    pool->update(server);
+    pool->setShare(share);
+  }
+  std::erase_if(Pools, [&](auto &entry) {
+    if (Cluster.servers().contains(entry.first))
+      return false;
+    entry.second->shutDown();
+    Retiring.push_back(entry.second);
+    return true;
+  });
+  std::erase_if(Retiring, [](const PoolPtr &it) {
+    return it->openCount() == 0 && it.use_count() == 1;
+  });
+  auto choice = primary();
+  if (choice.Use == cluster::PrimaryUse::Allowed &&
+      choice.Epoch != LastEpoch) {
+    LastEpoch = choice.Epoch;
+    PrimarySince = base::BootClock::now();
+  }
+  if (choice.Pool)
+    ResumeTimer = Loop.runAfter({}, [this] { resumeWaiting(); });
+}
+
+void GroupProxy::resumeWaiting() {
+  auto waiting = std::exchange(WaitingForPrimary, {});
+  for (const auto &it : waiting) {
+    if (auto resume = it.lock())
+      (*resume)();
+  }
+}
+
+GroupProxy::ResumeHandle
+GroupProxy::waitForPrimary(std::function<void()> resume) {
+  auto handle = std::make_shared<std::function<void()>>(std::move(resume));
+  WaitingForPrimary.push_back(handle);
+  return handle;
+}
+
+PrimaryChoice GroupProxy::primary() const {
+  PrimaryChoice it;
+  it.Use = Cluster.primaryUse(Name);
+  if (it.Use != cluster::PrimaryUse::Allowed)
+    return it;
+  const auto &record = Cluster.view().Groups.at(Name).Value;
+  it.Epoch = record.Epoch;
+  it.Pool = pool(record.Primary);
+  // The move that follows a vanished registration has not begun yet.
+  if (!it.Pool)
+    it.Use = cluster::PrimaryUse::Moving;
+  return it;
+}
+
+PoolPtr GroupProxy::pool(const base::ServerId &id) const {
+  auto it = Pools.find(id);
+  return it == Pools.end() ? nullptr : it->second;
+}
+
+PoolPtr
+GroupProxy::chooseForRead(base::LogPosition wanted,
+                          const std::set<base::ServerId> &excluded) const {
+  auto now = base::BootClock::now();
+  auto record = Cluster.view().Groups.find(Name);
+  std::vector<PoolPtr> pools;
+  std::vector<cluster::ReadCandidate> candidates;
+  for (const auto &[id, pool] : Pools) {
+    const auto &condition = pool->condition();
+    if (excluded.contains(id) || condition.WrongIdentity ||
+        Cluster.leavingSince(id))
+      continue;
+    cluster::ReadCandidate it;
+    it.SameZone = pool->server().Zone == Zone;
+    it.Primary = record != Cluster.view().Groups.end() &&
+                 record->second.Value.Primary == id;
+    it.Unreachable = condition.Unreachable && pool->openCount() == 0;
+    it.Covers = condition.Applied >= wanted;
+    it.SinceLagging = now - condition.LastLagging;
+    it.Latency = condition.Latency;
+    it.Load = pool->load();
+    it.Connections = pool->openCount();
+    pools.push_back(pool);
+    candidates.push_back(it);
+  }
+  auto best = cluster::chooseRead(candidates);
+  return best ? pools[*best] : nullptr;
+}
+
+void GroupProxy::observe(pooling::ServerPool &pool, base::BootTime sentAt,
+                         const sql::Reply &reply,
+                         std::optional<std::uint64_t> epoch) {
+  pool.observe(sentAt, reply);
+  if (!epoch || reply.Lost || !reply.Position)
+    return;
+  auto choice = primary();
+  // The reply of a primary that was replaced meanwhile proves nothing.
+  if (choice.Pool.get() != &pool || choice.Epoch != *epoch)
+    return;
+  cluster::recordSample(History, *epoch, sentAt, *reply.Position);
+}
+
+void GroupProxy::tick() {
+  auto now = base::BootClock::now();
+  for (const auto &[id, pool] : Pools) {
+    if (!Cluster.leavingSince(id))
+      pool->maintain(now);
+  }
+  auto choice = primary();
+  if (choice.Pool)
+    probePrimary(choice, now);
+  bool fresh = !History.Samples.empty() &&
+               now - History.Samples.back().SentAt < 3 * ProbePeriod;
+  if (!fresh)
+    Cluster.wantPositions();
+}
+
+void GroupProxy::probePrimary(const PrimaryChoice &choice,
+                              base::BootTime now) {
+  bool recent = History.Epoch == choice.Epoch && !History.Samples.empty() &&
+                now - History.Samples.back().SentAt < ProbePeriod;
+  if (recent || ProbeRunning)
+    return;
+  pooling::LinkPtr link = choice.Pool->takeIdle();
+  if (!link)
+    return;
+  ProbeRunning = true;
+  auto pool = choice.Pool;
+  auto epoch = choice.Epoch;
+  auto deadline = std::make_shared<kernel::Timer>();
+  *deadline = Loop.runAfter(ProbeTimeout, [link] { link->close(); });
+  link->Session = {};
+  link->run(platform::formatReset(), 1,
+            [this, pool, link, epoch,
+             deadline](const std::vector<sql::Reply> &replies) {
+              deadline->cancel();
+              ProbeRunning = false;
+              observe(*pool, link->sentAt(), replies.back(), epoch);
+              pool->release(link);
+            });
+}
+
+void GroupProxy::releaseClean(const PoolPtr &pool,
+                              const pooling::LinkPtr &link) {
+  if (!link->isIdle() ||
+      link->transaction() == sql::TransactionState::Idle) {
+    pool->abandon(link);
+    return;
+  }
+  sql::Statement rollback{.Kind = sql::Verb::Rollback};
+  auto deadline = std::make_shared<kernel::Timer>();
+  *deadline = Loop.runAfter(ProbeTimeout, [link] { link->close(); });
+  link->run(platform::formatOwnStatement(rollback), 1,
+            [pool, link, deadline](const std::vector<sql::Reply> &) {
+              deadline->cancel();
+              pool->release(link);
+            });
+}
+
+void GroupProxy::endCommit() {
+  --CommitsInFlight;
+  if (CommitsInFlight > 0)
+    return;
+  auto callbacks = std::exchange(DrainCallbacks, {});
+  for (const auto &it : callbacks)
+    it();
+}
+
+void GroupProxy::whenCommitsDrained(std::function<void()> callback) {
+  if (CommitsInFlight <= 0) {
+    callback();
+    return;
+  }
+  auto once = std::make_shared<std::function<void()>>(std::move(callback));
+  auto run = [once] {
+    if (auto it = std::exchange(*once, nullptr))
+      it();
+  };
+  DrainCallbacks.push_back(run);
+  auto timer = std::make_shared<kernel::Timer>();
+  *timer = Loop.runAfter(DrainLimit, [run, timer] { run(); });
+}
+
+cluster::PrimaryObservation GroupProxy::observePrimary() const {
+  cluster::PrimaryObservation it;
+  auto record = Cluster.view().Groups.find(Name);
+  if (record == Cluster.view().Groups.end())
+    return it;
+  const auto &id = record->second.Value.Primary;
+  auto server = pool(id);
+  it.Leaving = !server || Cluster.leavingSince(id).has_value();
+  if (!server)
+    return it;
+  it.Unreachable = server->condition().Unreachable;
+  auto heard = std::max(server->condition().LastHeard, PrimarySince);
+  if (heard != base::BootTime{})
+    it.HeardAge = base::BootClock::now() - heard;
+  return it;
+}
+
+} // namespace baobabpin::frontend
--- /dev/null
+++ b/baobabpin/frontend/GroupProxy.h
@@ -0,0 +1,94 @@
+/// One database group as this node uses it: the pools of its servers, what its
+/// primary reported, and the work that waits for a primary.
+#pragma once
+
+#include "baobabpin/cluster/PositionHistory.h"
+#include "baobabpin/cluster/MoveDecision.h"
+#include "baobabpin/control/ClusterService.h"
+#include "baobabpin/pooling/ServerPool.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace baobabpin::frontend {
+
+using PoolPtr = std::shared_ptr<pooling::ServerPool>;
+
+/// The primary that may be used now, or why there is none.
+struct PrimaryChoice {
+  cluster::PrimaryUse Use = cluster::PrimaryUse::UnknownGroup;
+  PoolPtr Pool;
+  std::uint64_t Epoch = 0;
+};
+
+class GroupProxy {
+public:
+  GroupProxy(kernel::EventLoop &loop, control::ClusterService &cluster,
+             base::GroupName name, base::AvailabilityZone zone);
+  ~GroupProxy();
+  GroupProxy(const GroupProxy &) = delete;
+  GroupProxy &operator=(const GroupProxy &) = delete;
+
+  /// Follows the registrations, the configuration and the number of nodes.
+  void refresh();
+  /// Probes the primary, gives back idle connections.
+  void tick();
+
+  PrimaryChoice primary() const;
+  /// The pool of a server, or null.
+  PoolPtr pool(const base::ServerId &id) const;
+  /// The best server for a read that needs \p wanted, or null.
+  PoolPtr chooseForRead(base::LogPosition wanted,
+                        const std::set<base::ServerId> &excluded) const;
+
+  /// Notes a reply of \p pool; \p epoch is the one in which the statement was
+  /// sent, if the pool was the usable primary then.
+  void observe(pooling::ServerPool &pool, base::BootTime sentAt,
+               const sql::Reply &reply, std::optional<std::uint64_t> epoch);
+  cluster::PositionHistory &history() { return History; }
+
+  /// Calls \p resume at the next change that may bring a usable primary. The
+  /// returned handle forgets the call when dropped.
+  using ResumeHandle = std::shared_ptr<std::function<void()>>;
+  ResumeHandle waitForPrimary(std::function<void()> resume);
+
+  /// Ends any transaction on the connection and returns it to its pool.
+  void releaseClean(const PoolPtr &pool, const pooling::LinkPtr &link);
+
+  /// Counts commits in flight at the primary.
+  void beginCommit() { ++CommitsInFlight; }
+  void endCommit();
+  /// Calls back when no commit is in flight, or after DrainLimit.
+  void whenCommitsDrained(std::function<void()> callback);
+
+  cluster::PrimaryObservation observePrimary() const;
+  const base::GroupName &name() const { return Name; }
+
+private:
+  void probePrimary(const PrimaryChoice &choice, base::BootTime now);
+  void resumeWaiting();
+
+  kernel::EventLoop &Loop;
+  control::ClusterService &Cluster;
+  base::GroupName Name;
+  base::AvailabilityZone Zone;
+  std::map<base::ServerId, PoolPtr> Pools;
+  /// Pools of servers that are gone, until their connections come back.
+  std::list<PoolPtr> Retiring;
+  cluster::PositionHistory History;
+  std::list<std::weak_ptr<std::function<void()>>> WaitingForPrimary;
+  int CommitsInFlight = 0;
+  std::list<std::function<void()>> DrainCallbacks;
+  std::uint64_t LastEpoch = 0;
+  /// When the present primary began to be used.
+  base::BootTime PrimarySince{};
+  bool ProbeRunning = false;
+  kernel::Timer ResumeTimer;
+};
+
+} // namespace baobabpin::frontend
--- /dev/null
+++ b/baobabpin/frontend/Session.cpp
@@ -0,0 +1,403 @@
+#include "baobabpin/frontend/Session.h"
+
+#include <utility>
+
+namespace baobabpin::frontend {
+namespace {
+
+using sql::ErrorCode;
+using sql::TransactionState;
+using sql::Verb;
+using std::chrono::milliseconds;
+
+/// Statements that a client may send before it has read the replies.
+constexpr std::size_t MaxPending = 64;
+/// Replies that a client may leave unread, in bytes.
+constexpr std::size_t MaxUnsentBytes = 4u << 20;
+/// A starting node may learn its configuration while a client waits.
+constexpr milliseconds OpenPatience{1500};
+constexpr milliseconds OpenRetry{50};
+
+} // namespace
+
+Session::Session(SessionContext &context, int fd) : Context(context), Fd(fd) {}
+
+void Session::start() {
+  net::LineHandlers handlers;
+  std::weak_ptr<Session> weak = weak_from_this();
+  handlers.OnLine = [weak](std::string_view line) {
+    if (auto self = weak.lock())
+      self->onLine(line);
+  };
+  handlers.OnClosed = [weak] {
+    if (auto self = weak.lock())
+      self->end();
+  };
+  Connection =
+      net::LineConnection::adopt(Context.Loop, Fd, std::move(handlers));
+}
+
+void Session::onLine(std::string_view line) {
+  if (Dismissed) {
+    // This crossed the notice, which the client takes as its reply.
+    if (line.starts_with("QUERY "))
+      Connection->send(platform::formatReady(TransactionState::Idle));
+    return;
+  }
+  if (Pending.size() >= MaxPending ||
+      Connection->pendingBytes() > MaxUnsentBytes) {
+    Context.Log.line("client_closed").add("reason", "too_much_unread");
+    end();
+    return;
+  }
+  Pending.emplace_back(line);
+  processNext();
+}
+
+void Session::processNext() {
+  auto self = shared_from_this();
+  while (!Ended && !Run && !Pending.empty() && (Opened || Database.empty())) {
+    std::string line = std::move(Pending.front());
+    Pending.pop_front();
+    auto message = platform::parseClientMessage(line);
+    if (!message) {
+      Context.Log.line("client_closed").add("reason", "unknown_message");
+      Connection->send(platform::formatError(ErrorCode::Malformed, "message"));
+      Connection->closeAfterSending();
+      end();
+      return;
+    }
+    if (auto *open = std::get_if<platform::OpenSession>(&*message)) {
+      onOpen(*open);
+    } else if (auto *query = std::get_if<platform::ClientQuery>(&*message)) {
+      onQuery(*query);
+    } else {
+      end();
+      return;
+    }
+  }
+  if (!Ended && !Run && Pending.empty())
+    maybeDrain();
+}
+
+void Session::onOpen(const platform::OpenSession &open) {
+  if (!Database.empty()) {
+    replyError(ErrorCode::Malformed, "session is open");
+    return;
+  }
+  Database = open.Database;
+  OpenAsked = base::BootClock::now();
+  finishOpen();
+}
+
+void Session::finishOpen() {
+  bool known = Context.Cluster.configuration() != nullptr;
+  if (!known && base::BootClock::now() - OpenAsked < OpenPatience) {
+    OpenTimer = Context.Loop.runAfter(OpenRetry, [weak = weak_from_this()] {
+      if (auto self = weak.lock())
+        self->finishOpen();
+    });
+    return;
+  }
+  if (route()) {
+    Opened = true;
+    Connection->send(platform::formatReady(TransactionState::Idle));
+    processNext();
+    return;
+  }
+  ErrorCode code = known ? ErrorCode::UnknownDatabase : ErrorCode::Busy;
+  Context.Log.line("session_refused")
+      .add("database", Database)
+      .add("reason", known ? "unknown_database" : "no_configuration");
+  Connection->send(platform::formatError(code, Database));
+  Connection->closeAfterSending();
+  end();
+}
+
+const cluster::Route *Session::route() const {
+  const auto *config = Context.Cluster.configuration();
+  if (!config)
+    return nullptr;
+  auto it = config->RoutesByDatabase.find(Database);
+  return it == config->RoutesByDatabase.end() ? nullptr : &it->second;
+}
+
+TransactionState Session::state() const {
+  if (!Transaction)
+    return TransactionState::Idle;
+  return Transaction->Failed ? TransactionState::Failed
+                             : TransactionState::Open;
+}
+
+void Session::reply(const sql::Reply &it) {
+  Connection->send(platform::formatReply(it, state()));
+}
+
+void Session::replyDone() { reply({}); }
+
+void Session::replyError(ErrorCode code, std::string_view text) {
+  sql::Reply it;
+  it.Error = code;
+  it.ErrorText = text;
+  reply(it);
+}
+
+void Session::onQuery(const platform::ClientQuery &query) {
+  auto statement = platform::parseStatement(query.Text);
+  if (!Opened || !statement) {
+    if (Transaction && !Transaction->Failed) {
+      releaseTransactionLink();
+      Transaction->Failed = true;
+    }
+    replyError(ErrorCode::Malformed, "statement");
+    return;
+  }
+  if (Transaction && !Transaction->PendingAbort.empty() &&
+      statement->Kind != Verb::Rollback) {
+    std::string reason = std::exchange(Transaction->PendingAbort, {});
+    if (statement->Kind == Verb::Commit)
+      endTransaction();
+    replyError(ErrorCode::Aborted, reason);
+    return;
+  }
+  if (Transaction && Transaction->Failed) {
+    onFailedTransaction(*statement);
+    return;
+  }
+  if (answerLocally(*statement))
+    return;
+  execute(query.Id, std::move(*statement));
+}
+
+void Session::onFailedTransaction(const sql::Statement &it) {
+  switch (it.Kind) {
+  case Verb::Rollback:
+    endTransaction();
+    replyDone();
+    return;
+  case Verb::Commit:
+    endTransaction();
+    replyError(ErrorCode::Aborted, "transaction failed");
+    return;
+  default:
+    replyError(ErrorCode::Malformed, "transaction failed");
+  }
+}
+
+bool Session::answerLocally(const sql::Statement &it) {
+  auto now = base::BootClock::now();
+  if (Transaction)
+    Transaction->LastActive = now;
+  switch (it.Kind) {
+  case Verb::SetValue:
+    Values[it.Name] = it.Argument;
+    replyDone();
+    return true;
+  case Verb::Prepare:
+    Prepared[it.Name] = {it.PreparedAccess, it.Argument};
+    replyDone();
+    return true;
+  case Verb::Deallocate:
+    if (Prepared.erase(it.Name) > 0)
+      replyDone();
+    else
+      replyError(ErrorCode::UnknownName, it.Name);
+    return true;
+  case Verb::Begin:
+  case Verb::BeginReadOnly: {
+    const cluster::Route *current = route();
+    if (Transaction || !current) {
+      replyError(Transaction ? ErrorCode::Malformed
+                             : ErrorCode::UnknownDatabase,
+                 "begin");
+      return true;
+    }
+    Transaction = OpenTransaction{};
+    Transaction->Route = *current;
+    Transaction->ReadOnly = it.Kind == Verb::BeginReadOnly;
+    Transaction->Began = now;
+    Transaction->LastActive = now;
+    replyDone();
+    return true;
+  }
+  case Verb::Rollback:
+    if (!Transaction) {
+      replyError(ErrorCode::Malformed, "no transaction");
+      return true;
+    }
+    endTransaction();
+    replyDone();
+    return true;
+  case Verb::Commit:
+    if (Transaction)
+      return false;
+    replyError(ErrorCode::Malformed, "no transaction");
+    return true;
+  default:
+    return false;
+  }
+}
+
+void Session::execute(const std::string &id, sql::Statement it) {
+  RunRequest request;
+  request.Id = id;
+  request.Arrived = base::BootClock::now();
+  if (it.Kind == Verb::Execute) {
+    auto found = Prepared.find(it.Name);
+    if (found == Prepared.end()) {
+      if (Transaction) {
+        releaseTransactionLink();
+        Transaction->Failed = true;
+      }
+      replyError(ErrorCode::UnknownName, it.Name);
+      return;
+    }
+    request.Prepared = found->second;
+  }
+  const cluster::Route *current = Transaction ? &Transaction->Route : route();
+  if (!current) {
+    replyError(ErrorCode::UnknownDatabase, Database);
+    return;
+  }
+  request.Route = *current;
+  auto group = Context.Group(current->Group);
+  if (!group) {
+    replyError(ErrorCode::Busy, "unknown group");
+    return;
+  }
+  bool changes =
+      it.Kind == Verb::Write ||
+      (request.Prepared && request.Prepared->Access == sql::Access::Write);
+  request.FreshAsOf = Transaction ? Transaction->Began : request.Arrived;
+  request.NeedsPrimary = current->Reads == cluster::Consistency::Strict ||
+                         (Transaction ? !Transaction->ReadOnly : changes);
+  request.Writes = it.Kind == Verb::Commit ? Transaction->Wrote
+                                           : changes && !Transaction;
+  if (current->Reads == cluster::Consistency::ReadYourWrites) {
+    request.OwnCommit = OwnCommit;
+    request.OwnEpoch = OwnEpoch;
+  }
+  request.Values = Values;
+  if (Transaction && changes)
+    Transaction->Wrote = true;
+  if (Transaction && Transaction->Link) {
+    request.PinnedPool = Transaction->Pool;
+    request.PinnedLink = std::exchange(Transaction->Link, nullptr);
+    request.PinnedEpoch = Transaction->Epoch;
+    request.PinnedToPrimary = Transaction->OnPrimary;
+  } else if (Transaction) {
+    request.Begin = Transaction->ReadOnly ? Verb::BeginReadOnly : Verb::Begin;
+  }
+  request.Statement = std::move(it);
+  Verb verb = request.Statement.Kind;
+  auto onDone = [weak = weak_from_this(), route = *current, verb,
+                 writes = request.Writes,
+                 arrived = request.Arrived](RunResult result) {
+    if (auto self = weak.lock())
+      self->onRunDone(route, verb, writes, arrived, std::move(result));
+  };
+  Run = std::make_shared<StatementRun>(Context.Loop, Context.Log, group,
+                                       std::move(request), std::move(onDone));
+  auto run = Run;
+  run->start();
+}
+
+void Session::onRunDone(const cluster::Route &route, Verb verb, bool writes,
+                        base::BootTime arrived, RunResult result) {
+  Run.reset();
+  auto now = base::BootClock::now();
+  Context.OnStatement(route, result.Reply, now - arrived);
+  if (Transaction) {
+    Transaction->LastActive = now;
+    if (verb == Verb::Commit) {
+      Transaction.reset();
+    } else if (result.Reply.succeeded()) {
+      Transaction->Pool = std::move(result.Pool);
+      Transaction->Link = std::move(result.Link);
+      Transaction->Epoch = result.Epoch;
+      Transaction->OnPrimary = result.OnPrimary;
+    } else {
+      Transaction->Failed = true;
+    }
+  }
+  if (writes && result.Reply.succeeded() && result.Reply.Position) {
+    OwnCommit = result.Reply.Position;
+    OwnEpoch = result.Epoch;
+  }
+  reply(result.Reply);
+  processNext();
+}
+
+void Session::endTransaction() {
+  releaseTransactionLink();
+  Transaction.reset();
+}
+
+void Session::releaseTransactionLink() {
+  if (!Transaction || !Transaction->Link)
+    return;
+  auto link = std::exchange(Transaction->Link, nullptr);
+  if (auto group = Context.Group(Transaction->Route.Group))
+    group->releaseClean(Transaction->Pool, link);
+  else
+    Transaction->Pool->release(link);
+}
+
+void Session::sweep(base::BootTime now) {
+  const auto *config = Context.Cluster.configuration();
+  if (!Transaction || Run || Transaction->Failed || !config)
+    return;
+  if (now - Transaction->LastActive > config->TransactionIdle)
+    abortTransaction("idle transaction");
+}
+
+void Session::abortTransaction(std::string_view reason) {
+  if (!Transaction || Transaction->Failed || Run)
+    return;
+  Context.Log.line("transaction_aborted")
+      .add("database", Database)
+      .add("reason", reason)
+      .add("idle_ms", base::BootClock::now() - Transaction->LastActive);
+  releaseTransactionLink();
+  Transaction->Failed = true;
+  Transaction->PendingAbort = reason;
+}
+
+void Session::drain() {
+  Draining = true;
+  maybeDrain();
+}
+
+void Session::maybeDrain() {
+  if (!Draining || Dismissed || Ended || Run || Transaction ||
+      !Pending.empty())
+    return;
+  // An error outside of any request makes the client close the session. Should
+  // it cross a request, it is a true reply to it: the request is not run.
+  Dismissed = true;
+  Connection->send(platform::formatError(ErrorCode::Busy, "node stops"));
+}
+
+void Session::shutDown() {
+  if (Ended)
+    return;
+  if (Connection)
+    Connection->closeAfterSending();
+  end();
+}
+
+void Session::end() {
+  if (std::exchange(Ended, true))
+    return;
+  auto self = shared_from_this();
+  OpenTimer.cancel();
+  if (Run)
+    std::exchange(Run, nullptr)->cancel();
+  releaseTransactionLink();
+  Transaction.reset();
+  if (Connection && Connection->pendingBytes() == 0)
+    Connection->close();
+  Context.OnEnded(this);
+}
+
+} // namespace baobabpin::frontend
--- /dev/null
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -0,0 +1,445 @@
+#include "baobabpin/frontend/StatementRun.h"
+
+#include "baobabpin/base/Hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabpin::frontend {
+namespace {
+
+using sql::ErrorCode;
+using std::chrono::milliseconds;
+
+/// Tries of one statement, the first included.
+constexpr int MaxTries = 4;
+/// Pause before the primary is tried again after it refused.
+constexpr milliseconds PrimaryRetryDelay{25};
+/// A read without a reply after this, or after several times the server's usual
+/// latency, is tried elsewhere: its reply may be lost.
+constexpr milliseconds SlowReplyFloor{250};
+constexpr int SlowReplyFactor = 8;
+/// A commit without a reply after this much more than its time limit never gets
+/// one.
+constexpr milliseconds CommitReplyLimit{3000};
+/// A connection with more prepared statements is reset.
+constexpr std::size_t MaxPreparedNames = 256;
+
+/// Equal statements get equal names, so that sessions share them and a name
+/// can never mean another statement.
+std::string preparedName(const PreparedStatement &it) {
+  const char *prefix = it.Access == sql::Access::Write ? "w" : "r";
+  return prefix + std::to_string(base::hash64(it.Shape));
+}
+
+} // namespace
+
+StatementRun::StatementRun(kernel::EventLoop &loop, kernel::LineLog &log,
+                           std::shared_ptr<GroupProxy> group,
+                           RunRequest request, Callback callback)
+    : Loop(loop), Log(log), Group(std::move(group)),
+      Request(std::move(request)), OnDone(std::move(callback)) {
+  Deadline = Request.Arrived + Request.Route.StatementTimeout;
+}
+
+void StatementRun::start() {
+  DeadlineTimer =
+      Loop.runAfter(Deadline - base::BootClock::now(),
+                    [self = shared_from_this()] { self->onDeadline(); });
+  if (!isPinned()) {
+    place();
+    return;
+  }
+  Pool = Request.PinnedPool;
+  Epoch = Request.PinnedEpoch;
+  GrantedAt = base::BootClock::now();
+  if (!Request.PinnedLink->isIdle()) {
+    finish(ErrorCode::Aborted, "connection_lost");
+    return;
+  }
+  Link = Request.PinnedLink;
+  if (Request.PinnedToPrimary && Request.Writes && !isStillPrimary()) {
+    finish(ErrorCode::Aborted, "primary_replaced");
+    return;
+  }
+  prepareLink();
+}
+
+void StatementRun::cancel() {
+  OnDone = nullptr;
+  DeadlineTimer.cancel();
+  SlowTimer.cancel();
+  RetryTimer.cancel();
+  Resume.reset();
+  if (Waiter)
+    Pool->cancel(Waiter);
+  Waiter.reset();
+  if (Link && Committing)
+    waitForCommit();
+  else
+    releaseLink();
+}
+
+void StatementRun::waitForCommit() {
+  // The commit counts as in flight until its reply, which may never come.
+  DeadlineTimer = Loop.runAfter(CommitReplyLimit, [self = shared_from_this()] {
+    if (auto link = self->Link)
+      link->close();
+  });
+}
+
+bool StatementRun::isStillPrimary() const {
+  auto choice = Group->primary();
+  return choice.Pool == Pool && choice.Epoch == Epoch;
+}
+
+void StatementRun::place() {
+  Resume.reset();
+  if (Request.NeedsPrimary)
+    placeOnPrimary();
+  else
+    placeOnReplica();
+}
+
+void StatementRun::placeOnPrimary() {
+  auto choice = Group->primary();
+  WaitFor.reset();
+  switch (choice.Use) {
+  case cluster::PrimaryUse::Allowed:
+    Epoch = choice.Epoch;
+    acquire(choice.Pool);
+    return;
+  case cluster::PrimaryUse::Moving:
+  case cluster::PrimaryUse::UnknownGroup:
+    // A move takes less than the time limit of most statements.
+    Resume = Group->waitForPrimary([weak = weak_from_this()] {
+      if (auto self = weak.lock())
+        self->place();
+    });
+    return;
+  case cluster::PrimaryUse::LeaseExpired:
+  case cluster::PrimaryUse::Unregistered:
+    break;
+  }
+  finish(ErrorCode::Busy, cluster::primaryUseName(choice.Use));
+}
+
+void StatementRun::placeOnReplica() {
+  cluster::FreshnessNeed need{Request.FreshAsOf - Request.Route.MaxStaleness,
+                              Request.OwnCommit, Request.OwnEpoch};
+  WaitFor = cluster::positionFor(Group->history(), need);
+  PoolPtr pool = WaitFor ? Group->chooseForRead(*WaitFor, Excluded) : nullptr;
+  if (pool) {
+    Epoch = 0;
+    acquire(pool);
+    return;
+  }
+  auto choice = Group->primary();
+  if (choice.Pool && !Excluded.contains(choice.Pool->server().Id)) {
+    WaitFor.reset();
+    Epoch = choice.Epoch;
+    acquire(choice.Pool);
+    return;
+  }
+  finish(ErrorCode::Lagging, WaitFor ? "no_fresh_server" : "no_known_position");
+}
+
+void StatementRun::acquire(const PoolPtr &pool) {
+  ++Tries;
+  Pool = pool;
+  Waiter = std::make_shared<pooling::Waiter>();
+  Waiter->Priority = Request.Route.Priority;
+  Waiter->Deadline = Deadline;
+  Waiter->Values = &Request.Values;
+  Waiter->OnGranted = [weak = weak_from_this()](const pooling::LinkPtr &link) {
+    if (auto self = weak.lock())
+      self->onGranted(link);
+  };
+  Waiter->OnRefused = [weak = weak_from_this()](ErrorCode code) {
+    if (auto self = weak.lock())
+      self->onRefused(code);
+  };
+  pool->acquire(Waiter);
+}
+
+void StatementRun::onRefused(ErrorCode) {
+  Waiter.reset();
+  retryElsewhere(ErrorCode::Busy, "server_unreachable");
+}
+
+void StatementRun::onGranted(const pooling::LinkPtr &link) {
+  Waiter.reset();
+  Link = link;
+  GrantedAt = base::BootClock::now();
+  // The primary may have been replaced while the statement waited.
+  if (Epoch != 0 && !isStillPrimary()) {
+    releaseLink();
+    place();
+    return;
+  }
+  prepareLink();
+}
+
+void StatementRun::prepareLink() {
+  std::string lines;
+  std::size_t count = 0;
+  auto &session = Link->Session;
+  bool extra = std::ranges::any_of(session.Values, [&](const auto &it) {
+    return !Request.Values.contains(it.first);
+  });
+  if (session.Uncertain || extra ||
+      session.PreparedNames.size() > MaxPreparedNames) {
+    lines += platform::formatReset();
+    ++count;
+    session = {};
+  }
+  for (const auto &[name, value] : Request.Values) {
+    auto it = session.Values.find(name);
+    if (it != session.Values.end() && it->second == value)
+      continue;
+    sql::Statement set{
+        .Kind = sql::Verb::SetValue, .Name = name, .Argument = value};
+    lines += platform::formatOwnStatement(set);
+    ++count;
+    session.Values[name] = value;
+  }
+  if (Request.Prepared) {
+    std::string name = preparedName(*Request.Prepared);
+    Request.Statement.Name = name;
+    if (session.PreparedNames.insert(name).second) {
+      sql::Statement prepare{.Kind = sql::Verb::Prepare,
+                             .Name = name,
+                             .Argument = Request.Prepared->Shape,
+                             .PreparedAccess = Request.Prepared->Access};
+      lines += platform::formatOwnStatement(prepare);
+      ++count;
+    }
+  }
+  // Values that are set inside a transaction are unknown if it rolls back.
+  if (isPinned() && count > 0)
+    session.Uncertain = true;
+  if (Request.Begin) {
+    if (WaitFor)
+      lines += platform::formatStatement(
+          "-",
+          {.Kind = *Request.Begin,
+           .Text = *Request.Begin == sql::Verb::Begin ? "BEGIN" : "BEGIN READ"},
+          WaitFor);
+    else
+      lines += platform::formatOwnStatement({.Kind = *Request.Begin});
+    ++count;
+  }
+  if (count == 0) {
+    sendStatement();
+    return;
+  }
+  Link->run(lines, count,
+            [weak = weak_from_this()](const std::vector<sql::Reply> &replies) {
+              if (auto self = weak.lock())
+                self->onLinkPrepared(replies);
+            });
+}
+
+void StatementRun::onLinkPrepared(const std::vector<sql::Reply> &replies) {
+  for (const auto &it : replies) {
+    if (it.succeeded())
+      continue;
+    Group->observe(*Pool, Link->sentAt(), it, std::nullopt);
+    // What the connection holds now is not known.
+    Link->Session.Uncertain = true;
+    if (isPinned()) {
+      finish(ErrorCode::Aborted, "connection_setup_failed");
+      return;
+    }
+    retryElsewhere(it.Error.value_or(ErrorCode::Busy),
+                   it.Lost ? "connection_lost" : "setup_refused");
+    return;
+  }
+  std::optional<std::uint64_t> epoch;
+  if (Epoch != 0)
+    epoch = Epoch;
+  Group->observe(*Pool, Link->sentAt(), replies.back(), epoch);
+  sendStatement();
+}
+
+void StatementRun::sendStatement() {
+  if (Epoch != 0 && Request.NeedsPrimary && !isPinned() && !isStillPrimary()) {
+    releaseLink();
+    place();
+    return;
+  }
+  bool awaited = WaitFor && !Request.Begin && !isPinned();
+  Sent = true;
+  Committing = Request.Writes;
+  if (Committing)
+    Group->beginCommit();
+  Link->run(platform::formatStatement(Request.Id, Request.Statement,
+                                      awaited ? WaitFor : std::nullopt),
+            1,
+            [self = shared_from_this()](const std::vector<sql::Reply> &replies) {
+              self->onReply(replies.back());
+            });
+  if (Request.Writes || isPinned())
+    return;
+  auto patience = std::max<std::chrono::nanoseconds>(
+      SlowReplyFloor, SlowReplyFactor * Pool->condition().Latency);
+  SlowTimer = Loop.runAfter(patience, [weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->onSlowReply();
+  });
+}
+
+void StatementRun::onSlowReply() {
+  if (!Link || Tries >= MaxTries)
+    return;
+  retryElsewhere(ErrorCode::Busy, "slow_reply");
+}
+
+void StatementRun::onReply(const sql::Reply &reply) {
+  SlowTimer.cancel();
+  bool committed = std::exchange(Committing, false);
+  if (!OnDone) {
+    if (committed)
+      Group->endCommit();
+    releaseLink();
+    return;
+  }
+  std::optional<std::uint64_t> epoch;
+  if (Epoch != 0)
+    epoch = Epoch;
+  Group->observe(*Pool, Link->sentAt(), reply, epoch);
+  // The check must precede the end of the commit, which may let a move go on.
+  bool current = !Request.Writes || isStillPrimary();
+  if (committed)
+    Group->endCommit();
+  if (reply.Lost)
+    onLost();
+  else if (reply.Error)
+    onError(reply);
+  else if (!current)
+    finish(ErrorCode::InDoubt, "primary_replaced");
+  else
+    onSuccess(reply);
+}
+
+void StatementRun::onLost() {
+  if (Request.Writes)
+    finish(ErrorCode::InDoubt, "reply_lost");
+  else if (isPinned())
+    finish(ErrorCode::Aborted, "connection_lost");
+  else
+    retryElsewhere(ErrorCode::Busy, "reply_lost");
+}
+
+void StatementRun::onError(const sql::Reply &reply) {
+  bool notRun = sql::promisesNoEffect(*reply.Error);
+  bool mayRepeat = notRun || (!Request.Writes &&
+                              (*reply.Error == ErrorCode::Failed ||
+                               *reply.Error == ErrorCode::TimedOut));
+  if (!isPinned() && mayRepeat) {
+    retryElsewhere(notRun ? *reply.Error : ErrorCode::Failed, "server_refused");
+    return;
+  }
+  RunResult result;
+  result.Reply = reply;
+  finish(std::move(result), "server_error");
+}
+
+void StatementRun::onSuccess(sql::Reply reply) {
+  RunResult result;
+  bool open = reply.State == sql::TransactionState::Open;
+  result.Reply = std::move(reply);
+  result.Epoch = Epoch;
+  result.OnPrimary = Epoch != 0;
+  if (open) {
+    result.Pool = Pool;
+    result.Link = std::exchange(Link, nullptr);
+  }
+  finish(std::move(result), "ok");
+}
+
+void StatementRun::retryElsewhere(ErrorCode code, std::string_view reason) {
+  SlowTimer.cancel();
+  std::string server = Pool->server().Id;
+  if (!Request.NeedsPrimary)
+    Excluded.insert(server);
+  releaseLink();
+  Log.line("statement_retry")
+      .add("id", Request.Id)
+      .add("server", server)
+      .add("reason", reason)
+      .add("try", Tries);
+  Sent = false;
+  if (Tries >= MaxTries) {
+    finish(code, reason);
+    return;
+  }
+  if (!Request.NeedsPrimary) {
+    place();
+    return;
+  }
+  RetryTimer = Loop.runAfter(PrimaryRetryDelay, [weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->place();
+  });
+}
+
+void StatementRun::onDeadline() {
+  if (!OnDone)
+    return;
+  if (!Sent) {
+    finish(ErrorCode::Busy, Waiter ? "no_connection" : "no_primary");
+    return;
+  }
+  finish(Request.Writes ? ErrorCode::InDoubt : ErrorCode::TimedOut,
+         "time_limit");
+}
+
+void StatementRun::releaseLink() {
+  auto link = std::exchange(Link, nullptr);
+  if (!link)
+    return;
+  if (isPinned())
+    Request.PinnedLink.reset();
+  Group->releaseClean(Pool, link);
+}
+
+void StatementRun::finish(ErrorCode code, std::string_view reason) {
+  RunResult result;
+  result.Reply.Error = code;
+  result.Reply.ErrorText = reason;
+  finish(std::move(result), reason);
+}
+
+void StatementRun::finish(RunResult result, std::string_view reason) {
+  auto callback = std::exchange(OnDone, nullptr);
+  if (!callback)
+    return;
+  auto self = shared_from_this();
+  auto now = base::BootClock::now();
+  DeadlineTimer.cancel();
+  SlowTimer.cancel();
+  RetryTimer.cancel();
+  Resume.reset();
+  if (Waiter)
+    Pool->cancel(Waiter);
+  Waiter.reset();
+  Log.line("statement")
+      .add("id", Request.Id)
+      .add("database", Request.Route.Database)
+      .add("outcome", reason)
+      .add("server", Pool ? Pool->server().Id : "none")
+      .add("epoch", static_cast<std::int64_t>(Epoch))
+      .add("position", WaitFor ? platform::formatLogPosition(*WaitFor) : "none")
+      .add("tries", Tries)
+      .add("waited_ms", (GrantedAt > Request.Arrived ? GrantedAt : now) -
+                            Request.Arrived)
+      .add("took_ms", now - Request.Arrived);
+  if (Link && Committing)
+    waitForCommit();
+  else
+    releaseLink();
+  callback(std::move(result));
+}
+
+} // namespace baobabpin::frontend
--- /dev/null
+++ b/baobabpin/frontend/StatementRun.h
@@ -0,0 +1,122 @@
+/// Brings one statement of a session to a server that may run it, and its reply
+/// back.
+///
+/// A statement that surely did not run, or that only reads, is tried again at
+/// another server within its time limit. A write or commit that was sent and
+/// not answered is reported as in doubt, never repeated.
+#pragma once
+
+#include "baobabpin/frontend/GroupProxy.h"
+#include "baobabpin/kernel/LineLog.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace baobabpin::frontend {
+
+/// A statement that a session prepared.
+struct PreparedStatement {
+  sql::Access Access = sql::Access::Read;
+  std::string Shape;
+};
+
+struct RunRequest {
+  std::string Id;
+  sql::Statement Statement;
+  cluster::Route Route;
+  base::BootTime Arrived{};
+  /// Arrival of the transaction, or of a statement outside of one.
+  base::BootTime FreshAsOf{};
+  /// The statement changes data, or commits such a change.
+  bool Writes = false;
+  /// Only the primary may run it.
+  bool NeedsPrimary = false;
+  /// The transaction's BEGIN, to be sent before its first statement.
+  std::optional<sql::Verb> Begin;
+  std::optional<base::LogPosition> OwnCommit;
+  std::uint64_t OwnEpoch = 0;
+  std::map<std::string, std::string> Values;
+  /// The statement that Execute names.
+  std::optional<PreparedStatement> Prepared;
+  /// The transaction's connection, after its first statement.
+  PoolPtr PinnedPool;
+  pooling::LinkPtr PinnedLink;
+  std::uint64_t PinnedEpoch = 0;
+  bool PinnedToPrimary = false;
+};
+
+struct RunResult {
+  sql::Reply Reply;
+  /// The transaction's connection, when it goes on.
+  PoolPtr Pool;
+  pooling::LinkPtr Link;
+  std::uint64_t Epoch = 0;
+  bool OnPrimary = false;
+};
+
+class StatementRun : public std::enable_shared_from_this<StatementRun> {
+public:
+  using Callback = std::function<void(RunResult)>;
+
+  StatementRun(kernel::EventLoop &loop, kernel::LineLog &log,
+               std::shared_ptr<GroupProxy> group, RunRequest request,
+               Callback callback);
+
+  void start();
+  /// The client is gone: nobody waits for the reply.
+  void cancel();
+
+private:
+  void place();
+  void placeOnPrimary();
+  void placeOnReplica();
+  void acquire(const PoolPtr &pool);
+  void onGranted(const pooling::LinkPtr &link);
+  void onRefused(sql::ErrorCode code);
+  void prepareLink();
+  void onLinkPrepared(const std::vector<sql::Reply> &replies);
+  void sendStatement();
+  void onReply(const sql::Reply &reply);
+  void onLost();
+  void onError(const sql::Reply &reply);
+  void onSuccess(sql::Reply reply);
+  /// Gives the connection back and places the statement again, or ends with
+  /// \p code when there is no time or no try left.
+  void retryElsewhere(sql::ErrorCode code, std::string_view reason);
+  void onDeadline();
+  void onSlowReply();
+  void releaseLink();
+  /// Keeps the connection of a commit until its reply, for nobody.
+  void waitForCommit();
+  void finish(sql::ErrorCode code, std::string_view reason);
+  void finish(RunResult result, std::string_view reason);
+  bool isPinned() const { return Request.PinnedLink != nullptr; }
+  bool isStillPrimary() const;
+
+  kernel::EventLoop &Loop;
+  kernel::LineLog &Log;
+  std::shared_ptr<GroupProxy> Group;
+  RunRequest Request;
+  Callback OnDone;
+  base::BootTime Deadline{};
+  base::BootTime GrantedAt{};
+  PoolPtr Pool;
+  pooling::LinkPtr Link;
+  pooling::WaiterPtr Waiter;
+  GroupProxy::ResumeHandle Resume;
+  /// Epoch of the primary that runs the statement; 0 on a replica.
+  std::uint64_t Epoch = 0;
+  std::optional<base::LogPosition> WaitFor;
+  std::set<base::ServerId> Excluded;
+  int Tries = 0;
+  bool Sent = false;
+  bool Committing = false;
+  kernel::Timer DeadlineTimer;
+  kernel::Timer SlowTimer;
+  kernel::Timer RetryTimer;
+};
+
+} // namespace baobabpin::frontend
--- a/baobabpin/http/HttpClient.cpp
+++ b/baobabpin/http/HttpClient.cpp
@@ -52,7 +52,8 @@
   void drop();
   bool isConnected() const;
   void send(evhttp_cmd_type method, const std::string &path, std::string body,
-            base::Duration timeout, ReplyCallback callback);
+            base::Duration timeout, ReplyCallback callback,
+            const HttpHeaders &headers);
   void finish(HttpReply reply);
   void onReply(evhttp_request *request);
 };
@@ -96,8 +97,8 @@
 
 void HttpConnection::State::send(evhttp_cmd_type method,
                                  const std::string &path, std::string body,
-                                 base::Duration timeout,
-                                 ReplyCallback callback) {
+                                 base::Duration timeout, ReplyCallback callback,
+                                 const HttpHeaders &extra) {
   Callback = std::move(callback);
   if (Connection && Closed)
     drop();
@@ -111,6 +112,8 @@
   auto *headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(headers, "Host", Target.Address.c_str());
   evhttp_add_header(headers, "Content-Type", "application/json");
+  for (const auto &it : extra)
+    evhttp_add_header(headers, it.Name.c_str(), it.Value.c_str());
   evbuffer_add(evhttp_request_get_output_buffer(Request), body.data(),
                body.size());
   Deadline = Loop.runAfter(timeout, [this] {
@@ -168,14 +171,15 @@
 HttpConnection::~HttpConnection() { Impl->drop(); }
 
 void HttpConnection::post(const std::string &path, std::string body,
-                          base::Duration timeout, ReplyCallback callback) {
+                          base::Duration timeout, ReplyCallback callback,
+                          const HttpHeaders &headers) {
   Impl->send(EVHTTP_REQ_POST, path, std::move(body), timeout,
-             std::move(callback));
+             std::move(callback), headers);
 }
 
 void HttpConnection::get(const std::string &path, base::Duration timeout,
                          ReplyCallback callback) {
-  Impl->send(EVHTTP_REQ_GET, path, {}, timeout, std::move(callback));
+  Impl->send(EVHTTP_REQ_GET, path, {}, timeout, std::move(callback), {});
 }
 
 void HttpConnection::disconnect() {
--- a/baobabpin/http/HttpClient.h
+++ b/baobabpin/http/HttpClient.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace baobabpin::http {
 
@@ -44,6 +45,12 @@
 
 using ReplyCallback = std::function<void(HttpReply)>;
 
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+};
+using HttpHeaders = std::vector<HttpHeader>;
+
 class HttpConnection {
 public:
   /// \p localAddress, when given, is the IP number to connect from.
@@ -57,7 +64,7 @@
   /// Sends a POST with a JSON body. Must not be called while isBusy(). The
   /// callback runs once, later, on the loop; it may destroy this connection.
   void post(const std::string &path, std::string body, base::Duration timeout,
-            ReplyCallback callback);
+            ReplyCallback callback, const HttpHeaders &headers = {});
   void get(const std::string &path, base::Duration timeout,
            ReplyCallback callback);
   bool isBusy() const;
--- /dev/null
+++ b/baobabpin/kernel/LineLog.cpp
@@ -0,0 +1,109 @@
+#include "baobabpin/kernel/LineLog.h"
+
+#include <fcntl.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <cstdio>
+
+namespace baobabpin::kernel {
+namespace {
+
+/// Above a full day's statements of one node, about 200 a second.
+constexpr std::uint64_t MaxLinesPerSecond = 500;
+/// Lines that a reader has not taken yet.
+constexpr std::size_t MaxBufferBytes = 256 * 1024;
+constexpr std::chrono::milliseconds FlushPeriod{100};
+
+} // namespace
+
+LineLog::Line::Line(LineLog &log, std::string_view event) : Log(log) {
+  Text.reserve(256);
+  auto us = std::chrono::duration_cast<std::chrono::microseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count();
+  Text += "ts=";
+  Text += std::to_string(us);
+  Text += " process=";
+  Text += log.Process;
+  Text += " event=";
+  Text += event;
+}
+
+LineLog::Line::~Line() {
+  Text += '\n';
+  Log.append(Text);
+}
+
+LineLog::Line &LineLog::Line::add(std::string_view key,
+                                  std::string_view value) {
+  Text += ' ';
+  Text += key;
+  Text += '=';
+  bool plain = !value.empty() &&
+               value.find_first_of(" \"=\r\n") == std::string_view::npos;
+  if (plain) {
+    Text += value;
+    return *this;
+  }
+  Text += '"';
+  for (char c : value) {
+    if (c == '"' || c == '\\')
+      Text += '\\';
+    Text += c == '\n' || c == '\r' ? ' ' : c;
+  }
+  Text += '"';
+  return *this;
+}
+
+LineLog::Line &LineLog::Line::add(std::string_view key, std::int64_t value) {
+  return add(key, std::to_string(value));
+}
+
+LineLog::Line &LineLog::Line::add(std::string_view key,
+                                  std::chrono::nanoseconds value) {
+  char buf[32];
+  std::snprintf(buf, sizeof buf, "%.3f",
+                static_cast<double>(value.count()) / 1e6);
+  return add(key, buf);
+}
+
+LineLog::LineLog(EventLoop &loop, std::string process, int fd)
+    : Process(std::move(process)), Fd(fd),
+      SecondStart(std::chrono::steady_clock::now()) {
+  int flags = fcntl(Fd, F_GETFL);
+  fcntl(Fd, F_SETFL, flags | O_NONBLOCK);
+  FlushTimer = loop.runEvery(FlushPeriod, [this] { flush(); });
+}
+
+LineLog::~LineLog() { flush(); }
+
+void LineLog::append(const std::string &text) {
+  auto now = std::chrono::steady_clock::now();
+  if (now - SecondStart >= std::chrono::seconds(1)) {
+    SecondStart = now;
+    LinesThisSecond = 0;
+  }
+  bool full = Buffer.size() + text.size() > MaxBufferBytes;
+  if (full || ++LinesThisSecond > MaxLinesPerSecond) {
+    ++Dropped;
+    ++DroppedTotal;
+    return;
+  }
+  if (Dropped > 0) {
+    Buffer += "process=" + Process + " event=log_lines_dropped lines=" +
+              std::to_string(Dropped) + "\n";
+    Dropped = 0;
+  }
+  Buffer += text;
+}
+
+void LineLog::flush() {
+  if (Buffer.empty())
+    return;
+  ssize_t n = write(Fd, Buffer.data(), Buffer.size());
+  if (n > 0)
+    Buffer.erase(0, static_cast<std::size_t>(n));
+}
+
+} // namespace baobabpin::kernel
--- /dev/null
+++ b/baobabpin/net/LineConnection.cpp
@@ -0,0 +1,177 @@
+#include "baobabpin/net/LineConnection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <utility>
+
+namespace baobabpin::net {
+namespace {
+
+/// Data that stays unacknowledged for this long means an unreachable peer.
+constexpr std::chrono::milliseconds UserTimeout{6000};
+constexpr int ListenBacklog = 512;
+
+sockaddr_in makeAddress(const http::Endpoint &endpoint) {
+  sockaddr_in it{};
+  it.sin_family = AF_INET;
+  it.sin_port = htons(endpoint.Port);
+  inet_pton(AF_INET, endpoint.Address.c_str(), &it.sin_addr);
+  return it;
+}
+
+void configureSocket(int fd) {
+  int one = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  auto timeout = static_cast<unsigned>(UserTimeout.count());
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+} // namespace
+
+std::shared_ptr<LineConnection>
+LineConnection::connect(kernel::EventLoop &loop, const http::Endpoint &endpoint,
+                        LineHandlers handlers) {
+  std::shared_ptr<LineConnection> it(new LineConnection);
+  auto *raw = bufferevent_socket_new(
+      loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  it->attach(raw, std::move(handlers));
+  sockaddr_in address = makeAddress(endpoint);
+  bufferevent_socket_connect(raw, reinterpret_cast<sockaddr *>(&address),
+                             sizeof address);
+  if (int fd = bufferevent_getfd(raw); fd >= 0)
+    configureSocket(fd);
+  return it;
+}
+
+std::shared_ptr<LineConnection>
+LineConnection::adopt(kernel::EventLoop &loop, int fd, LineHandlers handlers) {
+  std::shared_ptr<LineConnection> it(new LineConnection);
+  configureSocket(fd);
+  auto *raw = bufferevent_socket_new(
+      loop.base(), fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  it->attach(raw, std::move(handlers));
+  return it;
+}
+
+void LineConnection::attach(bufferevent *raw, LineHandlers handlers) {
+  Raw = raw;
+  Handlers = std::move(handlers);
+  bufferevent_setcb(
+      raw,
+      [](bufferevent *, void *arg) {
+        static_cast<LineConnection *>(arg)->shared_from_this()->readLines();
+      },
+      nullptr,
+      [](bufferevent *, short what, void *arg) {
+        auto self = static_cast<LineConnection *>(arg)->shared_from_this();
+        if (what & BEV_EVENT_CONNECTED) {
+          if (self->Handlers.OnConnected)
+            self->Handlers.OnConnected();
+          return;
+        }
+        // Data that arrived before the end may still hold a whole reply.
+        self->readLines();
+        self->fail();
+      },
+      this);
+  bufferevent_enable(raw, EV_READ | EV_WRITE);
+}
+
+LineConnection::~LineConnection() { close(); }
+
+void LineConnection::send(std::string_view data) {
+  if (Raw)
+    bufferevent_write(Raw, data.data(), data.size());
+}
+
+void LineConnection::close() {
+  if (Raw)
+    bufferevent_free(std::exchange(Raw, nullptr));
+}
+
+void LineConnection::closeAfterSending() {
+  if (!Raw)
+    return;
+  if (pendingBytes() == 0) {
+    close();
+    return;
+  }
+  bufferevent_disable(Raw, EV_READ);
+  bufferevent_setcb(
+      Raw, nullptr,
+      [](bufferevent *, void *arg) {
+        static_cast<LineConnection *>(arg)->shared_from_this()->close();
+      },
+      [](bufferevent *, short, void *arg) {
+        static_cast<LineConnection *>(arg)->shared_from_this()->close();
+      },
+      this);
+}
+
+std::size_t LineConnection::pendingBytes() const {
+  return Raw ? evbuffer_get_length(bufferevent_get_output(Raw)) : 0;
+}
+
+void LineConnection::readLines() {
+  while (Raw) {
+    evbuffer *buf = bufferevent_get_input(Raw);
+    std::size_t n = 0;
+    char *line = evbuffer_readln(buf, &n, EVBUFFER_EOL_CRLF_STRICT);
+    if (!line) {
+      if (evbuffer_get_length(buf) > MaxLineBytes)
+        fail();
+      return;
+    }
+    std::unique_ptr<char, decltype(&free)> holder(line, &free);
+    if (n > MaxLineBytes) {
+      fail();
+      return;
+    }
+    if (Handlers.OnLine)
+      Handlers.OnLine(std::string_view(line, n));
+  }
+}
+
+void LineConnection::fail() {
+  if (!Raw)
+    return;
+  close();
+  if (Handlers.OnClosed)
+    Handlers.OnClosed();
+}
+
+Listener::~Listener() { stop(); }
+
+base::Result<void> Listener::listen(const http::Endpoint &endpoint,
+                                    AcceptHandler handler) {
+  OnAccept = std::move(handler);
+  sockaddr_in address = makeAddress(endpoint);
+  Raw = evconnlistener_new_bind(
+      Loop.base(),
+      [](evconnlistener *, evutil_socket_t fd, sockaddr *, int, void *arg) {
+        static_cast<Listener *>(arg)->OnAccept(fd);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
+      reinterpret_cast<sockaddr *>(&address), sizeof address);
+  if (!Raw)
+    return base::fail(base::ErrorType::InvalidSettings,
+                      "cannot listen on " + http::formatEndpoint(endpoint));
+  return {};
+}
+
+void Listener::stop() {
+  if (Raw)
+    evconnlistener_free(std::exchange(Raw, nullptr));
+}
+
+} // namespace baobabpin::net
--- a/baobabpin/node/Main.cpp
+++ b/baobabpin/node/Main.cpp
@@ -1,11 +1,13 @@
 /// The proxy node.
 
 #include "baobabpin/node/NodeAssembly.h"
+#include "baobabpin/node/PlatformNode.h"
 
 #include <cxxopts.hpp>
 #include <glog/logging.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -36,13 +38,32 @@
   return 0;
 }
 
+int runOnPlatform(bool checkOnly) {
+  const char *path = std::getenv(platform::SettingsPathVariable);
+  if (!path) {
+    std::cerr << "baobabpin: " << platform::SettingsPathVariable
+              << " is not set\n";
+    return ExitUsage;
+  }
+  return baobabpin::base::handleFailure(
+      [&]() -> baobabpin::base::Result<int> {
+        BOOST_LEAF_AUTO(settings, platform::readHostSettings(path));
+        return checkOnly ? 0 : baobabpin::node::runPlatformNode(settings);
+      },
+      [&](const baobabpin::base::Failure &failure) {
+        std::cerr << "baobabpin: " << path << ": " << failure.Detail << '\n';
+        return ExitUsage;
+      });
+}
+
 int run(int argc, char **argv) {
   cxxopts::Options options("baobabpin",
                            "Database proxy node with session consistency.");
   options.add_options()("settings", "settings file (JSON)",
                         cxxopts::value<std::string>())(
-      "check", "check the settings and exit")("version", "print the version")(
-      "help", "print this help");
+      "platform", "run on the users' platform; its settings file is named by "
+                  "the environment")("check", "check the settings and exit")(
+      "version", "print the version")("help", "print this help");
   auto parsed = options.parse(argc, argv);
   if (parsed.count("help")) {
     std::cout << options.help();
@@ -52,6 +73,8 @@
     std::cout << "baobabpin " << Version << '\n';
     return 0;
   }
+  if (parsed.count("platform"))
+    return runOnPlatform(parsed.count("check") > 0);
   if (!parsed.count("settings")) {
     std::cerr << "baobabpin: --settings FILE is needed; see --help\n";
     return ExitUsage;
--- /dev/null
+++ b/baobabpin/node/PlatformNode.cpp
@@ -0,0 +1,72 @@
+#include "baobabpin/node/PlatformNode.h"
+
+#include "baobabpin/frontend/FrontendService.h"
+
+#include <csignal>
+#include <iostream>
+
+#include <unistd.h>
+
+namespace baobabpin::node {
+namespace {
+
+constexpr int ExitFailed = 1;
+/// The removal of the node's registration gets this long before the end.
+constexpr std::chrono::milliseconds FarewellTime{150};
+
+void addServices(kernel::Kernel &kernel, kernel::LineLog &log,
+                 const platform::HostSettings &settings) {
+  auto cluster = std::make_unique<control::ClusterService>(settings, log);
+  auto frontend = std::make_unique<frontend::FrontendService>(settings, log);
+  auto failover = std::make_unique<control::FailoverService>(
+      settings.Promotions, frontend->serverAccess(), log);
+  cluster->Hooks = frontend->clusterHooks();
+  cluster->Hooks.IsMoving = [it = failover.get()](const base::GroupName &name) {
+    return it->isMoving(name);
+  };
+  cluster->Hooks.OnEvidenceAsked =
+      [it = failover.get()](const base::GroupName &name) { it->check(name); };
+  kernel.add(std::move(cluster));
+  kernel.add(std::move(frontend));
+  kernel.add(std::move(failover));
+}
+
+} // namespace
+
+int runPlatformNode(const platform::HostSettings &settings) {
+  kernel::Kernel kernel(settings.Node);
+  kernel::LineLog log(kernel.loop(), settings.Node, STDOUT_FILENO);
+  addServices(kernel, log, settings);
+  bool started = base::handleFailure(
+      [&]() -> base::Result<bool> {
+        BOOST_LEAF_CHECK(kernel.startAll());
+        return true;
+      },
+      [&](const base::Failure &failure) {
+        log.line("start_failed").add("reason", failure.Detail);
+        return false;
+      });
+  if (!started)
+    return ExitFailed;
+  log.line("started").add("zone", settings.Zone).add("address",
+                                                     settings.Address);
+  auto &frontend = kernel.find<frontend::FrontendService>("frontend");
+  kernel::Timer farewell;
+  kernel.loop().onSignal(SIGTERM, [&] {
+    log.line("stop_asked").add("signal", "SIGTERM");
+    frontend.drain([&] {
+      kernel.find<control::ClusterService>("cluster").removeRegistration();
+      farewell = kernel.loop().runAfter(FarewellTime,
+                                        [&] { kernel.loop().stop(); });
+    });
+  });
+  kernel.loop().onSignal(SIGHUP, [&] {
+    log.line("reload").add("result", "settings take effect at the next start");
+  });
+  kernel.loop().run();
+  log.line("stopped");
+  kernel.stopAll();
+  return 0;
+}
+
+} // namespace baobabpin::node
--- a/baobabpin/owner/HandoverClaims.cpp
+++ b/baobabpin/owner/HandoverClaims.cpp
@@ -5,8 +5,8 @@
 namespace baobabpin::owner {
 
 using nlohmann::json;
-using platform::StoreReply;
-using platform::StoreStatus;
+using store::StoreReply;
+using store::StoreStatus;
 
 namespace {
 
@@ -46,7 +46,7 @@
   }
 }
 
-HandoverClaims::HandoverClaims(platform::StoreClient &store) : Store(store) {}
+HandoverClaims::HandoverClaims(store::StoreClient &store) : Store(store) {}
 
 HandoverClaims::Entry *HandoverClaims::find(const HandoverId &id) {
   auto it = Progress.find(id);
--- a/baobabpin/owner/HandoverClaims.h
+++ b/baobabpin/owner/HandoverClaims.h
@@ -8,7 +8,7 @@
 /// \endcode
 #pragma once
 
-#include "baobabpin/platform/StoreClient.h"
+#include "baobabpin/store/StoreClient.h"
 
 #include <cstdint>
 #include <functional>
@@ -56,7 +56,7 @@
 public:
   using IsAlive = std::function<bool(const std::string &node)>;
 
-  explicit HandoverClaims(platform::StoreClient &store);
+  explicit HandoverClaims(store::StoreClient &store);
 
   /// Reads the record and claims it when it may; \p start is called at most
   /// once for each handover. To be repeated until isSettled(), because the
@@ -87,7 +87,7 @@
   void write(const HandoverId &id, const HandoverRecord &record,
              std::uint64_t expected, std::function<void(Entry &)> onWritten);
 
-  platform::StoreClient &Store;
+  store::StoreClient &Store;
   std::map<HandoverId, Entry> Progress;
 };
 
--- a/baobabpin/owner/OwnerService.cpp
+++ b/baobabpin/owner/OwnerService.cpp
@@ -43,7 +43,7 @@
   std::map<base::GroupName, std::unique_ptr<GroupRunner>> Runners;
   /// Runners of former declarations that finish what they sent.
   std::vector<std::unique_ptr<GroupRunner>> Retired;
-  std::optional<platform::StoreClient> Store;
+  std::optional<store::StoreClient> Store;
   std::optional<HandoverClaims> Claims;
   /// Planned handovers that are declared, with their group.
   std::map<HandoverId, base::GroupName> Handovers;
--- /dev/null
+++ b/baobabpin/pooling/PoolPolicy.h
@@ -0,0 +1,45 @@
+/// Decisions of a connection pool, apart from its connections.
+#pragma once
+
+#include "baobabpin/base/BootClock.h"
+
+#include <chrono>
+#include <cstddef>
+
+namespace baobabpin::pooling {
+
+/// How many connections to one server a node may hold. All nodes together share
+/// the server's limit: each is sure of Guaranteed, and borrows up to Most while
+/// the server accepts more.
+struct ConnectionShare {
+  int Guaranteed = 1;
+  int Most = 1;
+};
+
+/// \p serverLimit connections are shared by \p nodes nodes.
+ConnectionShare shareConnections(int serverLimit, int nodes);
+
+/// After the server refused a connection for its limit, no node has one to
+/// spare for about as long as a transaction lasts.
+inline constexpr std::chrono::milliseconds LimitBackoff{250};
+/// After a connection could not be made.
+inline constexpr std::chrono::milliseconds FailureBackoff{200};
+/// A borrowed connection that is idle for this long is given back. Opening one
+/// costs the server 12 ms of a slot.
+inline constexpr std::chrono::milliseconds BorrowedIdleLimit{1500};
+
+struct PoolCounts {
+  int Open = 0;
+  int Opening = 0;
+  int Waiting = 0;
+};
+
+/// Whether to open one more connection for waiting work.
+bool shouldOpen(const PoolCounts &counts, const ConnectionShare &share,
+                base::BootTime backoffUntil, base::BootTime now);
+
+/// Whether an idle connection should be closed.
+bool shouldGiveBack(const PoolCounts &counts, const ConnectionShare &share,
+                    std::chrono::nanoseconds idleFor);
+
+} // namespace baobabpin::pooling
--- /dev/null
+++ b/baobabpin/pooling/ServerLink.cpp
@@ -0,0 +1,139 @@
+#include "baobabpin/pooling/ServerLink.h"
+
+#include <utility>
+
+namespace baobabpin::pooling {
+namespace {
+
+/// A healthy server accepts within its connection cost and its queue.
+constexpr std::chrono::milliseconds OpenTimeout{700};
+
+} // namespace
+
+std::shared_ptr<ServerLink>
+ServerLink::open(kernel::EventLoop &loop, const http::Endpoint &endpoint,
+                 const std::string &group, const std::string &server,
+                 OpenCallback callback) {
+  std::shared_ptr<ServerLink> it(new ServerLink);
+  it->OnOpen = std::move(callback);
+  std::weak_ptr<ServerLink> weak = it;
+  net::LineHandlers handlers;
+  handlers.OnLine = [weak](std::string_view line) {
+    if (auto self = weak.lock())
+      self->onLine(line);
+  };
+  handlers.OnClosed = [weak] {
+    if (auto self = weak.lock())
+      self->onClosed();
+  };
+  it->Connection = net::LineConnection::connect(loop, endpoint, handlers);
+  it->Connection->send(platform::formatConnect(group, server));
+  it->OpenDeadline = loop.runAfter(OpenTimeout, [weak] {
+    if (auto self = weak.lock())
+      self->onClosed();
+  });
+  return it;
+}
+
+ServerLink::~ServerLink() {
+  if (Connection)
+    Connection->close();
+}
+
+void ServerLink::run(const std::string &lines, std::size_t count,
+                     BatchCallback callback) {
+  Current = Phase::Running;
+  Expected = count;
+  Replies.clear();
+  OnBatch = std::move(callback);
+  SentAt = base::BootClock::now();
+  Connection->send(lines);
+}
+
+void ServerLink::close() { onClosed(); }
+
+void ServerLink::dropCallback() { OnBatch = nullptr; }
+
+void ServerLink::onLine(std::string_view line) {
+  auto self = shared_from_this();
+  if (Current == Phase::Connecting) {
+    // The reply to the opening message is readiness alone, or an error.
+    auto progress = Parser.add(line);
+    if (progress == platform::ReplyParser::Progress::Done) {
+      finishOpen(std::nullopt);
+      return;
+    }
+    if (line.starts_with("ERROR ")) {
+      (void)Parser.add("READY I -");
+      finishOpen(Parser.take().Error);
+    }
+    return;
+  }
+  if (Current != Phase::Running) {
+    // Nothing was asked: replies could no longer be matched to statements.
+    onClosed();
+    return;
+  }
+  switch (Parser.add(line)) {
+  case platform::ReplyParser::Progress::More:
+    return;
+  case platform::ReplyParser::Progress::Broken:
+    onClosed();
+    return;
+  case platform::ReplyParser::Progress::Done:
+    break;
+  }
+  Replies.push_back(Parser.take());
+  Transaction = Replies.back().State;
+  if (Replies.size() == Expected)
+    finishBatch();
+}
+
+void ServerLink::finishOpen(std::optional<sql::ErrorCode> error) {
+  OpenDeadline.cancel();
+  if (error) {
+    Current = Phase::Closed;
+    Connection->close();
+  } else {
+    (void)Parser.take();
+    Current = Phase::Idle;
+    IdleSince = base::BootClock::now();
+  }
+  if (auto callback = std::exchange(OnOpen, nullptr))
+    callback(error);
+}
+
+void ServerLink::finishBatch() {
+  Current = Phase::Idle;
+  IdleSince = base::BootClock::now();
+  if (auto callback = std::exchange(OnBatch, nullptr))
+    callback(std::move(Replies));
+  else if (OnSettled)
+    OnSettled();
+}
+
+void ServerLink::onClosed() {
+  if (Current == Phase::Closed)
+    return;
+  auto self = shared_from_this();
+  OpenDeadline.cancel();
+  Connection->close();
+  Phase before = std::exchange(Current, Phase::Closed);
+  if (before == Phase::Connecting) {
+    if (auto callback = std::exchange(OnOpen, nullptr))
+      callback(sql::ErrorCode::Failed);
+    return;
+  }
+  if (before == Phase::Running && OnBatch) {
+    sql::Reply lost;
+    lost.Lost = true;
+    Replies.push_back(std::move(lost));
+    auto callback = std::exchange(OnBatch, nullptr);
+    callback(std::move(Replies));
+    return;
+  }
+  if (OnSettled)
+    OnSettled();
+}
+
+} // namespace baobabpin::pooling
--- a/baobabpin/platform/Backoff.cpp
+++ b/baobabpin/store/Backoff.cpp
@@ -1,8 +1,8 @@
-#include "baobabpin/platform/Backoff.h"
+#include "baobabpin/store/Backoff.h"
 
 #include <algorithm>
 
-namespace baobabpin::platform {
+namespace baobabpin::store {
 
 std::chrono::milliseconds nextDelay(Backoff &backoff, std::mt19937_64 &random) {
   std::chrono::milliseconds whole = backoff.First;
@@ -15,4 +15,4 @@
   return std::chrono::milliseconds(delay(random));
 }
 
-} // namespace baobabpin::platform
+} // namespace baobabpin::store
--- a/baobabpin/platform/Backoff.h
+++ b/baobabpin/store/Backoff.h
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <random>
 
-namespace baobabpin::platform {
+namespace baobabpin::store {
 
 /// Doubling delays with jitter. Watchers of a fleet that lost the store at the
 /// same moment spread their attempts over the whole delay.
@@ -23,4 +23,4 @@
 /// After a success.
 inline void reset(Backoff &backoff) { backoff.Failures = 0; }
 
-} // namespace baobabpin::platform
+} // namespace baobabpin::store
--- a/baobabpin/platform/FakeStore.h
+++ b/baobabpin/store/FakeStore.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace baobabpin::platform::testing {
+namespace baobabpin::store::testing {
 
 class FakeStore {
 public:
@@ -162,4 +162,4 @@
   std::vector<Watcher> Watchers;
 };
 
-} // namespace baobabpin::platform::testing
+} // namespace baobabpin::store::testing
--- a/baobabpin/platform/HostList.cpp
+++ b/baobabpin/store/HostList.cpp
@@ -1,6 +1,6 @@
-#include "baobabpin/platform/HostList.h"
+#include "baobabpin/store/HostList.h"
 
-namespace baobabpin::platform {
+namespace baobabpin::store {
 
 struct HostList::State : std::enable_shared_from_this<HostList::State> {
   State(kernel::EventLoop &loop, StoreClient &store,
@@ -73,4 +73,4 @@
   return Impl->Hosts;
 }
 
-} // namespace baobabpin::platform
+} // namespace baobabpin::store
--- a/baobabpin/platform/HostList.h
+++ b/baobabpin/store/HostList.h
@@ -2,15 +2,15 @@
 #pragma once
 
 #include "baobabpin/kernel/EventLoop.h"
-#include "baobabpin/platform/Backoff.h"
-#include "baobabpin/platform/StoreClient.h"
+#include "baobabpin/store/Backoff.h"
+#include "baobabpin/store/StoreClient.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
-namespace baobabpin::platform {
+namespace baobabpin::store {
 
 class HostList {
 public:
@@ -34,4 +34,4 @@
   std::shared_ptr<State> Impl;
 };
 
-} // namespace baobabpin::platform
+} // namespace baobabpin::store
--- a/baobabpin/platform/PrefixWatch.cpp
+++ b/baobabpin/store/PrefixWatch.cpp
@@ -1,10 +1,10 @@
-#include "baobabpin/platform/PrefixWatch.h"
+#include "baobabpin/store/PrefixWatch.h"
 
 #include <algorithm>
 #include <optional>
 #include <utility>
 
-namespace baobabpin::platform {
+namespace baobabpin::store {
 namespace {
 
 /// One call in this time when nothing changes.
@@ -123,4 +123,4 @@
 
 bool PrefixWatch::isRunning() const { return Impl->Running; }
 
-} // namespace baobabpin::platform
+} // namespace baobabpin::store
--- a/baobabpin/platform/PrefixWatch.h
+++ b/baobabpin/store/PrefixWatch.h
@@ -8,15 +8,15 @@
 #pragma once
 
 #include "baobabpin/kernel/EventLoop.h"
-#include "baobabpin/platform/Backoff.h"
-#include "baobabpin/platform/StoreClient.h"
+#include "baobabpin/store/Backoff.h"
+#include "baobabpin/store/StoreClient.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-namespace baobabpin::platform {
+namespace baobabpin::store {
 
 struct WatchHandlers {
   /// All entries as of \p revision; keys not in it do not exist.
@@ -48,4 +48,4 @@
   std::shared_ptr<State> Impl;
 };
 
-} // namespace baobabpin::platform
+} // namespace baobabpin::store
--- a/baobabpin/platform/StoreClient.cpp
+++ b/baobabpin/store/StoreClient.cpp
@@ -1,10 +1,10 @@
-#include "baobabpin/platform/StoreClient.h"
+#include "baobabpin/store/StoreClient.h"
 
-#include "baobabpin/platform/StoreMessages.h"
+#include "baobabpin/store/StoreMessages.h"
 
 #include <deque>
 
-namespace baobabpin::platform {
+namespace baobabpin::store {
 namespace {
 
 using internal::CallEffect;
@@ -204,4 +204,4 @@
                 Impl->Timeouts.Call, std::move(callback)});
 }
 
-} // namespace baobabpin::platform
+} // namespace baobabpin::store
--- a/baobabpin/platform/StoreClient.h
+++ b/baobabpin/store/StoreClient.h
@@ -18,7 +18,7 @@
 #include <string>
 #include <vector>
 
-namespace baobabpin::platform {
+namespace baobabpin::store {
 
 /// What is known about a call at its end.
 enum class StoreStatus {
@@ -104,4 +104,4 @@
   std::shared_ptr<State> Impl;
 };
 
-} // namespace baobabpin::platform
+} // namespace baobabpin::store
--- a/baobabpin/platform/StoreClientTest.cpp
+++ b/baobabpin/store/StoreClientTest.cpp
@@ -1,12 +1,12 @@
-#include "baobabpin/platform/StoreClient.h"
-#include "baobabpin/platform/FakeStore.h"
-#include "baobabpin/platform/HostList.h"
-#include "baobabpin/platform/PrefixWatch.h"
-#include "baobabpin/platform/StoreMessages.h"
+#include "baobabpin/store/StoreClient.h"
+#include "baobabpin/store/FakeStore.h"
+#include "baobabpin/store/HostList.h"
+#include "baobabpin/store/PrefixWatch.h"
+#include "baobabpin/store/StoreMessages.h"
 
 #include <doctest/doctest.h>
 
-namespace baobabpin::platform {
+namespace baobabpin::store {
 namespace {
 
 using namespace std::chrono_literals;
@@ -142,4 +142,4 @@
 }
 
 } // namespace
-} // namespace baobabpin::platform
+} // namespace baobabpin::store
--- a/baobabpin/platform/StoreMessages.cpp
+++ b/baobabpin/store/StoreMessages.cpp
@@ -1,6 +1,6 @@
-#include "baobabpin/platform/StoreMessages.h"
+#include "baobabpin/store/StoreMessages.h"
 
-namespace baobabpin::platform::internal {
+namespace baobabpin::store::internal {
 namespace {
 
 using nlohmann::json;
@@ -85,4 +85,4 @@
   return parsed;
 }
 
-} // namespace baobabpin::platform::internal
+} // namespace baobabpin::store::internal
--- a/baobabpin/platform/StoreMessages.h
+++ b/baobabpin/store/StoreMessages.h
@@ -6,11 +6,11 @@
 #pragma once
 
 #include "baobabpin/http/HttpClient.h"
-#include "baobabpin/platform/StoreClient.h"
+#include "baobabpin/store/StoreClient.h"
 
 #include <nlohmann/json.hpp>
 
-namespace baobabpin::platform::internal {
+namespace baobabpin::store::internal {
 
 /// Whether a lost answer leaves a change in doubt.
 enum class CallEffect { Reads, Changes };
@@ -18,4 +18,4 @@
 /// Interprets an answer; a malformed one counts as lost.
 StoreReply parseReply(const http::HttpReply &reply, CallEffect effect);
 
-} // namespace baobabpin::platform::internal
+} // namespace baobabpin::store::internal
