Ask peers for evidence only on a suspicion of one's own

The request now says whether the caller suspects the primary itself; only then the asked node asks in turn.

--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -451,15 +451,17 @@
 
 void ClusterService::onEvidence(const std::string &body,
                                 const http::ResponderPtr &responder) {
-  auto group = decodeGroupName(body);
-  if (!group) {
+  auto request = decodeEvidenceRequest(body);
+  if (!request) {
     responder->json(400, "{}");
     return;
   }
-  if (Hooks.OnEvidenceAsked)
-    Hooks.OnEvidenceAsked(*group);
-  EvidenceReply reply{Hooks.PrimaryHeard(*group), isStoreReachable(),
-                      Hooks.IsMoving(*group)};
+  // Only a suspicion makes this node ask in turn, or two nodes would go on
+  // asking each other.
+  if (request->Suspected)
+    Hooks.OnEvidenceAsked(request->Group);
+  EvidenceReply reply{Hooks.PrimaryHeard(request->Group), isStoreReachable(),
+                      Hooks.IsMoving(request->Group)};
   responder->json(200, encode(reply));
 }
 
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -163,6 +163,8 @@
   auto peers = Cluster->peers();
   question->RegisteredPeers = peers.size();
   auto outstanding = std::make_shared<std::size_t>(peers.size());
+  EvidenceRequest request{
+      group, takeOver || cluster::isSuspect(Access.Observe(group))};
   Watches[group].Polling = true;
   if (peers.empty()) {
     onEvidence(group, *question);
@@ -178,7 +180,7 @@
       if (--*outstanding == 0)
         onEvidence(group, *question);
     };
-    Cluster->caller().call(peer.Endpoint, EvidencePath, encodeGroupName(group),
+    Cluster->caller().call(peer.Endpoint, EvidencePath, encode(request),
                            EvidenceTimeout, onReply);
   }
 }
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -71,8 +71,8 @@
   return body.dump();
 }
 
-std::string encodeGroupName(const base::GroupName &group) {
-  return json{{"group", group}}.dump();
+std::string encode(const EvidenceRequest &it) {
+  return json{{"group", it.Group}, {"suspected", it.Suspected}}.dump();
 }
 
 std::optional<SyncRequest> decodeSyncRequest(const std::string &text) {
@@ -116,9 +116,11 @@
   });
 }
 
-std::optional<base::GroupName> decodeGroupName(const std::string &text) {
+std::optional<EvidenceRequest>
+decodeEvidenceRequest(const std::string &text) {
   return decode(text, [](const json &it) {
-    return it.at("group").get<std::string>();
+    return EvidenceRequest{it.at("group").get<std::string>(),
+                           it.at("suspected").get<bool>()};
   });
 }
 
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -58,6 +58,12 @@
   std::string View;
 };
 
+struct EvidenceRequest {
+  base::GroupName Group;
+  /// The caller itself suspects the primary; otherwise it was asked, too.
+  bool Suspected = false;
+};
+
 struct EvidenceReply {
   /// Time since the group's primary last answered this node.
   std::optional<std::chrono::milliseconds> PrimaryHeard;
@@ -71,12 +77,12 @@
 std::string encode(const SyncReply &it);
 std::string encode(const RevokeRequest &it);
 std::string encode(const EvidenceReply &it);
-std::string encodeGroupName(const base::GroupName &group);
+std::string encode(const EvidenceRequest &it);
 std::optional<SyncRequest> decodeSyncRequest(const std::string &text);
 std::optional<SyncReply> decodeSyncReply(const std::string &text);
 std::optional<RevokeRequest> decodeRevokeRequest(const std::string &text);
 std::optional<EvidenceReply> decodeEvidenceReply(const std::string &text);
-std::optional<base::GroupName> decodeGroupName(const std::string &text);
+std::optional<EvidenceRequest> decodeEvidenceRequest(const std::string &text);
 
 /// Calls other nodes.
 class PeerCaller {
