--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -39,9 +39,7 @@
 
 void Session::onLine(std::string_view line) {
   if (Dismissed) {
-    // This crossed the notice, which the client takes as its reply.
-    if (line.starts_with("QUERY "))
-      Connection->send(platform::formatReady(TransactionState::Idle));
+    refuseAfterNotice(line);
     return;
   }
   if (Pending.size() >= MaxPending ||
@@ -54,6 +52,17 @@
   processNext();
 }
 
+void Session::refuseAfterNotice(std::string_view line) {
+  if (!line.starts_with("QUERY "))
+    return;
+  // A first request crossed the notice, and the client takes the notice as the
+  // beginning of its reply. A client whose request crossed it does not leave.
+  if (std::exchange(NoticeAnswered, true))
+    replyError(ErrorCode::Busy, "node stops");
+  else
+    Connection->send(platform::formatReady(TransactionState::Idle));
+}
+
 void Session::processNext() {
   auto self = shared_from_this();
   while (!Ended && !Run && !Pending.empty() && (Opened || Database.empty())) {
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -86,6 +86,8 @@
   void replyDone();
   void replyError(sql::ErrorCode code, std::string_view text);
   void maybeDrain();
+  /// Answers a request that came after the notice to leave; it is not run.
+  void refuseAfterNotice(std::string_view line);
   void end();
 
   SessionContext &Context;
@@ -96,6 +98,8 @@
   bool Draining = false;
   /// The client was told to leave; nothing runs any more.
   bool Dismissed = false;
+  /// A request has met the notice to leave.
+  bool NoticeAnswered = false;
   bool Ended = false;
   std::deque<std::string> Pending;
   std::map<std::string, std::string> Values;
