Tell a promoted server from one that missed an earlier promotion

A server whose step-down could not be confirmed went on reporting to be primary of its old term. The group record now holds the term of its primary; a move ends only when the server leads a later one. A server that refuses a connection for its limit counts as heard: restarted nodes suspected healthy primaries while the connections of the lost ones still counted.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -12,6 +12,7 @@
 json toJson(const GroupRecord &it) {
   return {{"epoch", it.Epoch},
           {"primary", it.Primary},
+          {"term", it.Term},
           {"moving", it.Moving},
           {"mover", it.Mover},
           {"token", it.Token}};
@@ -30,6 +31,7 @@
 GroupRecord groupFrom(const json &it) {
   return {.Epoch = it.at("epoch").get<std::uint64_t>(),
           .Primary = it.at("primary").get<std::string>(),
+          .Term = it.at("term").get<base::TermNumber>(),
           .Moving = it.at("moving").get<bool>(),
           .Mover = it.at("mover").get<std::string>(),
           .Token = it.at("token").get<std::uint64_t>()};
--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -78,10 +78,10 @@
   return mover == question.Self ? MoveVerdict::MoveNow : MoveVerdict::LeaveIt;
 }
 
-std::optional<Candidate>
-choosePrimary(const std::vector<Candidate> &candidates) {
-  auto rank = [](const Candidate &it) {
-    bool leads = it.Status.Role == sql::ServerRole::Primary && !it.Present;
+std::optional<Candidate> choosePrimary(const std::vector<Candidate> &candidates,
+                                       base::TermNumber recordTerm) {
+  auto rank = [&](const Candidate &it) {
+    bool leads = !it.Present && isLeading(it.Status, recordTerm, false);
     return std::tuple(leads, leads ? it.Status.Term : 0, !it.Leaving,
                       !it.Present, it.Status.Received);
   };
@@ -89,4 +89,12 @@
   return best == candidates.end() ? std::nullopt : std::optional(*best);
 }
 
+bool isLeading(const sql::ServerStatus &status, base::TermNumber recordTerm,
+               bool isPresentPrimary) {
+  if (status.Role != sql::ServerRole::Primary)
+    return false;
+  return isPresentPrimary ? status.Term >= recordTerm
+                          : status.Term > recordTerm;
+}
+
 } // namespace baobabpin::cluster
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -3,6 +3,7 @@
 
 #include "baobabpin/base/BootClock.h"
 #include "baobabpin/base/Identifiers.h"
+#include "baobabpin/base/LogPosition.h"
 #include "baobabpin/sql/Statement.h"
 
 #include <chrono>
@@ -79,6 +80,16 @@
 };
 
 /// The candidate that loses the fewest commits; empty if there is none.
-std::optional<Candidate> choosePrimary(const std::vector<Candidate> &candidates);
+/// \p recordTerm is the term of the primary that is replaced: a server that
+/// leads a later one was promoted by an earlier attempt of the same move. A
+/// server that claims to lead an earlier term has missed a promotion.
+std::optional<Candidate> choosePrimary(const std::vector<Candidate> &candidates,
+                                       base::TermNumber recordTerm);
+
+/// Whether the promoted server leads already, given its report. A server that
+/// missed an earlier promotion reports to be primary of an old term until the
+/// new one begins.
+bool isLeading(const sql::ServerStatus &status, base::TermNumber recordTerm,
+               bool isPresentPrimary);
 
 } // namespace baobabpin::cluster
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -71,6 +71,9 @@
   /// Grows with every change of the primary.
   std::uint64_t Epoch = 0;
   base::ServerId Primary;
+  /// The term in which Primary began to lead; 0 for a group's first primary,
+  /// whose term nobody had to know.
+  base::TermNumber Term = 0;
   /// A move to another primary is under way; nobody may use Primary.
   bool Moving = false;
   /// Who moves it: "node/incarnation".
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -56,6 +56,8 @@
   std::vector<cluster::Candidate> Candidates;
   std::size_t QueriesOutstanding = 0;
   base::ServerId Target;
+  /// The term that Target leads.
+  base::TermNumber NewTerm = 0;
   std::set<base::ServerId> Refused;
   base::BootTime PromotedAt{};
   kernel::Timer Next;
@@ -401,7 +403,7 @@
 
 void FailoverService::choose(const MovePtr &move) {
   move->Refused.clear();
-  auto best = cluster::choosePrimary(move->Candidates);
+  auto best = cluster::choosePrimary(move->Candidates, move->Record.Term);
   if (!best) {
     later(move, StepRetry, &FailoverService::stepDown);
     return;
@@ -473,8 +475,11 @@
                      reply && reply->succeeded() && !reply->Rows.empty()
                          ? platform::parseStatusRow(reply->Rows.front())
                          : std::nullopt;
-                 if (status && status->Role == sql::ServerRole::Primary) {
+                 bool present = it->Target == it->Record.Primary;
+                 if (status && cluster::isLeading(*status, it->Record.Term,
+                                                  present)) {
                    logMove(it, "leads");
+                   it->NewTerm = status->Term;
                    finish(it);
                    return;
                  }
@@ -486,6 +491,7 @@
   cluster::GroupRecord record = move->Record;
   ++record.Epoch;
   record.Primary = move->Target;
+  record.Term = move->NewTerm;
   record.Moving = false;
   record.Mover.clear();
   auto revision = Cluster->view().Groups.at(move->Group).Revision;
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -168,6 +168,10 @@
   }
   switch (*error) {
   case sql::ErrorCode::TooManyConnections:
+    // A server that refuses for its limit is alive. Connections of hosts that
+    // lost power count against the limit for some seconds.
+    Condition.LastHeard = now;
+    Condition.Unreachable = false;
     BackoffUntil = now + LimitBackoff;
     return;
   case sql::ErrorCode::WrongServer:
