Let one node read the store for all, and shorten the lease on primaries

Ruled out: a store lease per node (keys can be taken away at once, without notice); a watch for the records (silent while history is dropped). Change: the first node by name reads the records every 400 ms, the others ask it; a view older than 950 ms makes a node read the store and ask all peers.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/cluster/ClusterView.h"
 
+#include "baobabpin/base/Hash.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -98,6 +100,13 @@
   return records;
 }
 
+json contentsOf(const ClusterView &view) {
+  return {{"groups", recordsToJson(view.Groups)},
+          {"nodes", recordsToJson(view.Nodes)},
+          {"duty", toJson(view.Duty.Value)},
+          {"duty_revision", view.Duty.Revision}};
+}
+
 } // namespace
 
 std::string encodeRecord(const GroupRecord &it) { return toJson(it).dump(); }
@@ -116,12 +125,13 @@
   }
 }
 
+std::uint64_t digestOf(const ClusterView &view) {
+  return base::hash64(contentsOf(view).dump());
+}
+
 std::string encodeView(const ClusterView &view) {
-  json object{{"revision", view.Revision},
-              {"groups", recordsToJson(view.Groups)},
-              {"nodes", recordsToJson(view.Nodes)},
-              {"duty", toJson(view.Duty.Value)},
-              {"duty_revision", view.Duty.Revision}};
+  json object = contentsOf(view);
+  object["revision"] = view.Revision;
   return object.dump();
 }
 
--- a/baobabpin/cluster/ClusterView.h
+++ b/baobabpin/cluster/ClusterView.h
@@ -17,12 +17,13 @@
 
 namespace baobabpin::cluster {
 
-/// How long a view entitles its holder to use primaries. Long enough to survive
-/// short store outages without help from peers; a node lost together with a
-/// primary delays the move by as much.
-inline constexpr std::chrono::milliseconds PrimaryLease{4000};
+/// How long a view entitles its holder to use primaries. A node that is lost
+/// together with a primary delays the move by as much, and reads of bounded
+/// staleness should outlast the move; peers renew the view several times within
+/// it, also while the store is away.
+inline constexpr std::chrono::milliseconds PrimaryLease{1800};
 /// Added by the mover to PrimaryLease for the granularity of timers.
-inline constexpr std::chrono::milliseconds LeaseMargin{150};
+inline constexpr std::chrono::milliseconds LeaseMargin{100};
 
 /// Keys below the prefix that the nodes own.
 inline constexpr const char *GroupKeyPart = "group/";
@@ -48,6 +49,9 @@
 bool applyEntry(ClusterView &view, const std::string &prefix,
                 const store::StoreEntry &entry);
 
+/// Identifies the records of a view, whatever its revision and age.
+std::uint64_t digestOf(const ClusterView &view);
+
 /// The whole view as JSON, for a peer that cannot reach the store.
 std::string encodeView(const ClusterView &view);
 /// Revision 0 when \p text is no view. ValidatedAt is left unset.
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -14,12 +14,12 @@
 namespace baobabpin::cluster {
 
 /// A primary that has not answered for this long, although asked, is suspected.
-/// Probes need no slot at the server and are sent every 250 ms.
-inline constexpr std::chrono::milliseconds SuspectAfter{650};
+/// Probes need no slot at the server and are sent every 200 ms.
+inline constexpr std::chrono::milliseconds SuspectAfter{450};
 /// The same when connections to it fail at once.
-inline constexpr std::chrono::milliseconds SuspectUnreachableAfter{300};
+inline constexpr std::chrono::milliseconds SuspectUnreachableAfter{250};
 /// A peer that heard the primary within this time vouches for it.
-inline constexpr std::chrono::milliseconds VouchWithin{600};
+inline constexpr std::chrono::milliseconds VouchWithin{450};
 /// With fewer than half of the nodes in touch, a node acts alone only after
 /// this time.
 inline constexpr std::chrono::milliseconds LonelyAfter{2500};
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -10,22 +10,25 @@
 
 using std::chrono::milliseconds;
 
-/// Between two reads of the shared records; several fit into PrimaryLease.
-constexpr milliseconds RecordsPeriod{1000};
-constexpr milliseconds ServersPeriod{1000};
-/// A watch on a silent connection is noticed after this and a call's timeout,
-/// within the time in which a configuration must be in force.
-constexpr milliseconds ConfigWait{1500};
-/// A view of this age makes the node ask its peers.
-constexpr milliseconds RelayAge{1600};
-constexpr milliseconds TickPeriod{150};
-constexpr milliseconds SyncPeriod{400};
-constexpr milliseconds SyncTimeout{500};
+constexpr milliseconds TickPeriod{100};
+/// The age at which a view is renewed by its usual source. Several renewals fit
+/// into PrimaryLease.
+constexpr milliseconds RenewAge{400};
+/// The age at which the usual source is taken to have failed.
+constexpr milliseconds FallbackAge{950};
+constexpr milliseconds ServersRenewAge{1000};
+constexpr milliseconds ServersFallbackAge{2200};
+/// A configuration must be in force 3 s after its acknowledgement.
+constexpr milliseconds ConfigRenewAge{700};
+constexpr milliseconds ConfigFallbackAge{1600};
+/// Between two rounds of asking all peers.
+constexpr milliseconds SyncPeriod{350};
+constexpr milliseconds SyncTimeout{300};
 /// The store puts lapsed entries back within two seconds of an outage.
 constexpr milliseconds GoneDelay{2500};
 /// A change whose reply was lost may take effect this much later.
 constexpr milliseconds LateChangeLimit{6500};
-constexpr milliseconds StoreReachableAge{2600};
+constexpr milliseconds StoreReachableAge{2000};
 
 } // namespace
 
@@ -34,7 +37,7 @@
   base::BootTime SentAt{};
   std::size_t Outstanding = 0;
   /// Every registered peer answered and knows of no newer records.
-  bool AllConfirm = true;
+  bool AllConfirm = false;
 };
 
 ClusterService::ClusterService(platform::HostSettings settings,
@@ -59,33 +62,29 @@
   auto onAvailability = [this](const char *what) {
     return [this, what](bool available) {
       Log.line(available ? "store_regained" : "store_lost")
-          .add("follows", what)
+          .add("reading", what)
           .add("view_age_ms", viewAge());
     };
   };
-  OwnFollower = std::make_unique<PrefixFollower>(
-      loop, *Store,
-      FollowSettings{platform::OwnPrefix, FollowMode::Poll, RecordsPeriod},
-      FollowHandlers{[this](const auto &entries, auto revision, auto sentAt) {
-                       onOwnRecords(entries, revision, sentAt);
-                     },
-                     nullptr, onAvailability("records")});
-  ServersFollower = std::make_unique<PrefixFollower>(
-      loop, *Store,
-      FollowSettings{platform::ServersPrefix, FollowMode::Poll, ServersPeriod},
-      FollowHandlers{
-          [this](const auto &entries, auto, auto) { onServers(entries); },
-          nullptr, onAvailability("servers")});
-  ConfigFollower = std::make_unique<PrefixFollower>(
-      loop, *Store,
-      FollowSettings{platform::ConfigurationKey, FollowMode::Watch, ConfigWait},
-      FollowHandlers{
-          [this](const auto &entries, auto, auto) { onConfiguration(entries); },
-          [this](const auto &entries, auto) { onConfiguration(entries); },
-          onAvailability("configuration")});
-  OwnFollower->start();
-  ServersFollower->start();
-  ConfigFollower->start();
+  RecordsReader = std::make_unique<PrefixReader>(
+      *Store, platform::OwnPrefix,
+      ReadHandlers{[this](const auto &entries, auto revision, auto sentAt) {
+                     onOwnRecords(entries, revision, sentAt);
+                   },
+                   onAvailability("records")});
+  ServersReader = std::make_unique<PrefixReader>(
+      *Store, platform::ServersPrefix,
+      ReadHandlers{[this](const auto &entries, auto, auto sentAt) {
+                     onServerEntries(entries, sentAt);
+                   },
+                   onAvailability("servers")});
+  ConfigReader = std::make_unique<PrefixReader>(
+      *Store, platform::ConfigurationKey,
+      ReadHandlers{[this](const auto &entries, auto, auto sentAt) {
+                     onConfiguration(entries, sentAt);
+                   },
+                   onAvailability("configuration")});
+  readStore(base::BootClock::now(), true);
   Ticker = loop.runEvery(TickPeriod, [this] { tick(); });
   return {};
 }
@@ -93,9 +92,9 @@
 void ClusterService::stop() {
   Ticker.cancel();
   PeerServer.reset();
-  OwnFollower.reset();
-  ServersFollower.reset();
-  ConfigFollower.reset();
+  RecordsReader.reset();
+  ServersReader.reset();
+  ConfigReader.reset();
 }
 
 void ClusterService::subscribe(std::function<void()> listener) {
@@ -162,12 +161,13 @@
   auto before = View.Groups;
   if (!cluster::mergeView(View, std::move(view)))
     return;
-  bool changed = false;
+  auto digest = cluster::digestOf(View);
+  if (std::exchange(ViewDigest, digest) == digest)
+    return;
   for (const auto &[group, it] : View.Groups) {
     auto old = before.find(group);
     if (old != before.end() && old->second.Value == it.Value)
       continue;
-    changed = true;
     Log.line("group_record")
         .add("group", group)
         .add("epoch", static_cast<std::int64_t>(it.Value.Epoch))
@@ -179,17 +179,31 @@
         .add("revision", static_cast<std::int64_t>(View.Revision));
   }
   notify();
-  (void)changed;
 }
 
-void ClusterService::onServers(const std::vector<store::StoreEntry> &entries) {
-  auto now = base::BootClock::now();
-  std::map<base::ServerId, cluster::ServerRegistration> fresh;
+void ClusterService::onServerEntries(
+    const std::vector<store::StoreEntry> &entries, base::BootTime sentAt) {
+  std::vector<cluster::ServerRegistration> servers;
   for (const auto &it : entries) {
-    auto server = platform::parseRegistration(it.Key, it.Value);
-    if (server)
-      fresh.emplace(server->Id, *server);
+    // An entry that cannot be read names no server to use.
+    if (auto server = platform::parseRegistration(it.Key, it.Value))
+      servers.push_back(*server);
   }
+  adoptServers(std::move(servers), sentAt);
+}
+
+void ClusterService::adoptServers(
+    std::vector<cluster::ServerRegistration> servers,
+    base::BootTime confirmedAt) {
+  if (confirmedAt <= ServersConfirmedAt)
+    return;
+  ServersConfirmedAt = confirmedAt;
+  auto now = base::BootClock::now();
+  std::map<base::ServerId, cluster::ServerRegistration> fresh;
+  for (const auto &it : servers)
+    fresh.emplace(it.Id, it);
+  LastServers = std::move(servers);
+  ServersDigest = digestOf(LastServers);
   bool changed = false;
   for (const auto &[id, it] : fresh) {
     auto [known, added] = Servers.emplace(id, it);
@@ -226,7 +240,8 @@
 }
 
 void ClusterService::onConfiguration(
-    const std::vector<store::StoreEntry> &entries) {
+    const std::vector<store::StoreEntry> &entries, base::BootTime sentAt) {
+  ConfigConfirmedAt = std::max(ConfigConfirmedAt, sentAt);
   for (const auto &it : entries) {
     if (it.Key != platform::ConfigurationKey || it.Deleted)
       continue;
@@ -292,7 +307,7 @@
     --ChangesPending;
     if (reply.Status == store::StoreStatus::Unknown)
       UncertainUntil = base::BootClock::now() + LateChangeLimit;
-    OwnFollower->refresh();
+    RecordsReader->readAfterChange();
     callback(reply);
   });
 }
@@ -312,34 +327,71 @@
 
 void ClusterService::wantPositions() { PositionsWanted = true; }
 
+std::string ClusterService::readerNode() const {
+  for (const auto &[name, it] : View.Nodes) {
+    if (!it.Value.Retired)
+      return name;
+  }
+  return Self.Node;
+}
+
 void ClusterService::tick() {
   auto now = base::BootClock::now();
-  bool stale = now - View.ValidatedAt > RelayAge || !Config;
-  if ((stale || PositionsWanted) && !SyncRunning && now - LastSync > SyncPeriod)
-    syncWithPeers();
+  auto age = now - View.ValidatedAt;
+  bool reader = readerNode() == Self.Node;
+  readStore(now, reader);
+  bool everyone = age > FallbackAge || !Config || PositionsWanted;
+  bool due = everyone ? now - LastSync > SyncPeriod : age > RenewAge && !reader;
+  if (due && !SyncRunning)
+    syncWith(syncTargets(everyone), everyone);
 }
 
-void ClusterService::syncWithPeers() {
-  auto now = base::BootClock::now();
-  LastSync = now;
-  PositionsWanted = false;
-  auto round = std::make_shared<SyncRound>();
-  round->SentAt = now;
+void ClusterService::readStore(base::BootTime now, bool asReader) {
+  auto older = [&](base::BootTime since, milliseconds renew,
+                   milliseconds fallback) {
+    return now - since > (asReader ? renew : fallback);
+  };
+  if (older(View.ValidatedAt, RenewAge, FallbackAge))
+    RecordsReader->read();
+  if (older(ServersConfirmedAt, ServersRenewAge, ServersFallbackAge))
+    ServersReader->read();
+  if (older(ConfigConfirmedAt, ConfigRenewAge, ConfigFallbackAge))
+    ConfigReader->read();
+}
+
+std::vector<PeerNode> ClusterService::syncTargets(bool everyone) const {
   auto targets = peers();
+  if (!everyone) {
+    std::erase_if(targets, [reader = readerNode()](const PeerNode &it) {
+      return it.Name != reader;
+    });
+  }
+  if (!targets.empty())
+    return targets;
   // Without a list of nodes, the settings name a few.
-  if (targets.empty()) {
-    round->AllConfirm = false;
-    for (const auto &it : Settings.Seeds) {
-      if (it != Settings.Peers)
-        targets.push_back({{}, it});
-    }
+  for (const auto &it : Settings.Seeds) {
+    if (it != Settings.Peers)
+      targets.push_back({{}, it});
   }
+  return targets;
+}
+
+void ClusterService::syncWith(const std::vector<PeerNode> &targets,
+                              bool everyone) {
   if (targets.empty())
     return;
-  SyncRunning = true;
+  auto round = std::make_shared<SyncRound>();
+  round->SentAt = base::BootClock::now();
   round->Outstanding = targets.size();
-  std::string body = encode(SyncRequest{
-      Self.Node, View.Revision, Config ? Config->Version : 0, {}});
+  round->AllConfirm = everyone && !View.Nodes.empty();
+  if (everyone) {
+    LastSync = round->SentAt;
+    PositionsWanted = false;
+  }
+  SyncRunning = true;
+  std::string body =
+      encode(SyncRequest{Self.Node, View.Revision, ViewDigest, ServersDigest,
+                         Config ? Config->Version : 0, {}});
   for (const auto &it : targets) {
     Caller->call(it.Endpoint, SyncPath, body, SyncTimeout,
                  [this, round, peer = it.Name](const auto &reply) {
@@ -354,30 +406,36 @@
   auto reply = body ? decodeSyncReply(*body) : std::nullopt;
   if (!reply || reply->ChangePending)
     round->AllConfirm = false;
-  if (reply) {
-    if (!reply->Config.empty() && adoptConfiguration(reply->Config, peer))
-      notify();
-    bool newer = reply->ViewRevision > View.Revision;
-    if (newer && !reply->View.empty()) {
-      auto view = cluster::decodeView(reply->View);
-      view.ValidatedAt = round->SentAt - reply->ViewAge;
-      adoptView(std::move(view), peer);
-      // Peers that replied before may not know of these records.
-      round->AllConfirm = false;
-    } else if (reply->ViewRevision == View.Revision) {
-      View.ValidatedAt =
-          std::max(View.ValidatedAt, round->SentAt - reply->ViewAge);
-    }
-    for (const auto &[group, it] : reply->Positions) {
-      if (Hooks.OnPeerPosition)
-        Hooks.OnPeerPosition(group, it.Epoch, it.Position,
-                             round->SentAt - it.Age);
-    }
-  }
+  if (reply)
+    adoptReply(*round, peer, *reply);
   if (--round->Outstanding == 0)
     finishRound(*round);
 }
 
+void ClusterService::adoptReply(SyncRound &round, const std::string &peer,
+                                const SyncReply &reply) {
+  auto confirmed = round.SentAt - reply.ViewAge;
+  if (!reply.View.empty()) {
+    auto view = cluster::decodeView(reply.View);
+    view.ValidatedAt = confirmed;
+    // Peers that replied before may not know of these records.
+    round.AllConfirm = false;
+    adoptView(std::move(view), peer);
+    ensureRegistered();
+  } else if (reply.ViewRevision >= View.Revision) {
+    View.Revision = reply.ViewRevision;
+    View.ValidatedAt = std::max(View.ValidatedAt, confirmed);
+  }
+  if (!reply.Config.empty() && adoptConfiguration(reply.Config, peer))
+    notify();
+  ConfigConfirmedAt =
+      std::max(ConfigConfirmedAt, round.SentAt - reply.ConfigAge);
+  auto serversConfirmed = round.SentAt - reply.ServersAge;
+  adoptServers(reply.Servers.value_or(LastServers), serversConfirmed);
+  for (const auto &[group, it] : reply.Positions)
+    Hooks.OnPeerPosition(group, it.Epoch, it.Position, round.SentAt - it.Age);
+}
+
 void ClusterService::finishRound(const SyncRound &round) {
   SyncRunning = false;
   if (!round.AllConfirm || ChangesPending > 0 || View.Revision == 0 ||
@@ -388,9 +446,10 @@
 }
 
 void ClusterService::pushView() {
-  std::string body = encode(SyncRequest{Self.Node, View.Revision,
-                                        Config ? Config->Version : 0,
-                                        cluster::encodeView(View)});
+  std::string body =
+      encode(SyncRequest{Self.Node, View.Revision, ViewDigest, ServersDigest,
+                         Config ? Config->Version : 0,
+                         cluster::encodeView(View)});
   for (const auto &it : peers())
     Caller->call(it.Endpoint, SyncPath, body, SyncTimeout,
                  [](const auto &) {});
@@ -423,13 +482,22 @@
     adoptView(cluster::decodeView(request->View), request->Node);
   SyncReply reply;
   reply.ViewRevision = View.Revision;
-  if (View.Revision > request->ViewRevision)
+  if (View.Revision >= request->ViewRevision &&
+      ViewDigest != request->ViewDigest)
     reply.View = cluster::encodeView(View);
-  reply.ViewAge = std::chrono::ceil<milliseconds>(viewAge());
+  auto now = base::BootClock::now();
+  auto age = [now](base::BootTime since) {
+    return std::chrono::ceil<milliseconds>(now - since);
+  };
+  reply.ViewAge = age(View.ValidatedAt);
+  reply.ConfigAge = age(ConfigConfirmedAt);
+  reply.ServersAge = age(ServersConfirmedAt);
+  if (request->ServersDigest != ServersDigest)
+    reply.Servers = LastServers;
   if (Config && Config->Version > request->ConfigVersion)
     reply.Config = ConfigDocument;
   reply.ChangePending =
-      ChangesPending > 0 || base::BootClock::now() < UncertainUntil;
+      ChangesPending > 0 || now < UncertainUntil;
   if (Hooks.Positions)
     reply.Positions = Hooks.Positions();
   responder->json(200, encode(reply));
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -1,15 +1,17 @@
 /// What this node shares with the others: the records in the store, the
 /// configuration, the servers' registrations, and the calls of peers.
 ///
-/// While the store does not answer this node, it learns from its peers: any
-/// peer with a fresher view relays it. When no peer reaches the store either,
+/// One node, the reader, reads the store for all; the others ask it, because a
+/// call to a peer costs far less than one to the store. A node whose view grows
+/// old reads the store itself and asks all peers: any of them with a fresher
+/// view relays it. When no peer reaches the store either,
 /// all registered peers together confirm the view: each of them would have to
 /// write to the store, and then wait for this node, before a primary changes.
 #pragma once
 
 #include "baobabpin/cluster/ClusterView.h"
 #include "baobabpin/control/PeerCalls.h"
-#include "baobabpin/control/PrefixFollower.h"
+#include "baobabpin/control/PrefixReader.h"
 #include "baobabpin/http/HttpServer.h"
 #include "baobabpin/kernel/Kernel.h"
 #include "baobabpin/kernel/LineLog.h"
@@ -102,17 +104,27 @@
   void onEvidence(const std::string &body, const http::ResponderPtr &responder);
   void onOwnRecords(const std::vector<store::StoreEntry> &entries,
                     std::uint64_t revision, base::BootTime sentAt);
-  void onServers(const std::vector<store::StoreEntry> &entries);
-  void onConfiguration(const std::vector<store::StoreEntry> &entries);
+  void onServerEntries(const std::vector<store::StoreEntry> &entries,
+                       base::BootTime sentAt);
+  void adoptServers(std::vector<cluster::ServerRegistration> servers,
+                    base::BootTime confirmedAt);
+  void onConfiguration(const std::vector<store::StoreEntry> &entries,
+                       base::BootTime sentAt);
   bool adoptConfiguration(const std::string &document,
                           std::string_view source);
   void adoptView(cluster::ClusterView view, std::string_view source);
   void ensureRegistered();
   void tick();
-  void syncWithPeers();
+  /// The node that reads the store for all.
+  std::string readerNode() const;
+  void readStore(base::BootTime now, bool asReader);
+  void syncWith(const std::vector<PeerNode> &targets, bool everyone);
+  std::vector<PeerNode> syncTargets(bool everyone) const;
   void onSyncReply(const std::shared_ptr<SyncRound> &round,
                    const std::string &peer,
                    const std::optional<std::string> &body);
+  void adoptReply(SyncRound &round, const std::string &peer,
+                  const SyncReply &reply);
   void finishRound(const SyncRound &round);
   void notify();
   std::map<base::GroupName, PositionReport> positions() const;
@@ -122,13 +134,19 @@
   kernel::Kernel *Kernel = nullptr;
   cluster::NodeIdentity Self;
   std::unique_ptr<platform::PlatformStore> Store;
-  std::unique_ptr<PrefixFollower> OwnFollower;
-  std::unique_ptr<PrefixFollower> ServersFollower;
-  std::unique_ptr<PrefixFollower> ConfigFollower;
+  std::unique_ptr<PrefixReader> RecordsReader;
+  std::unique_ptr<PrefixReader> ServersReader;
+  std::unique_ptr<PrefixReader> ConfigReader;
   std::unique_ptr<http::HttpServer> PeerServer;
   std::unique_ptr<PeerCaller> Caller;
   std::vector<std::function<void()>> Listeners;
   cluster::ClusterView View;
+  std::uint64_t ViewDigest = 0;
+  /// The registrations of the last snapshot, without those that are missing.
+  std::vector<cluster::ServerRegistration> LastServers;
+  std::uint64_t ServersDigest = 0;
+  base::BootTime ServersConfirmedAt{};
+  base::BootTime ConfigConfirmedAt{};
   std::map<base::GroupName, std::uint64_t> RevokedEpochs;
   std::optional<cluster::Configuration> Config;
   std::string ConfigDocument;
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds TickPeriod{50};
-constexpr milliseconds PollPeriod{250};
+constexpr milliseconds PollPeriod{200};
 constexpr milliseconds EvidenceTimeout{150};
 constexpr milliseconds RevokeTimeout{500};
 constexpr milliseconds RevokeRetry{100};
@@ -523,7 +523,8 @@
   PeerNode peer = next == alive.end() ? alive.front() : *next;
   if (std::exchange(Successor, peer.Name) != peer.Name)
     SuccessorMisses = 0;
-  std::string body = encode(SyncRequest{self, Cluster->view().Revision, 0, {}});
+  std::string body =
+      encode(SyncRequest{.Node = self, .ViewRevision = ~std::uint64_t{0}});
   Cluster->caller().call(peer.Endpoint, SyncPath, body, SuccessorTimeout,
                          [this, peer](const std::optional<std::string> &reply) {
                            if (reply || peer.Name != Successor) {
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/control/PeerCalls.h"
 
+#include "baobabpin/base/Hash.h"
+
 #include <nlohmann/json.hpp>
 
 namespace baobabpin::control {
@@ -29,6 +31,25 @@
           {"age_ms", it.Age.count()}};
 }
 
+json toJson(const cluster::ServerRegistration &it) {
+  return {{"id", it.Id},
+          {"group", it.Group},
+          {"address", http::formatEndpoint(it.Address)},
+          {"zone", it.Zone},
+          {"draining", it.Draining},
+          {"primary", it.Role == sql::ServerRole::Primary}};
+}
+
+cluster::ServerRegistration serverFrom(const json &it) {
+  return {it.at("id").get<std::string>(),
+          it.at("group").get<std::string>(),
+          http::parseEndpoint(it.at("address").get<std::string>()),
+          it.at("zone").get<std::string>(),
+          it.at("draining").get<bool>(),
+          it.at("primary").get<bool>() ? sql::ServerRole::Primary
+                                       : sql::ServerRole::Replica};
+}
+
 PositionReport positionFrom(const json &it) {
   return {it.at("epoch").get<std::uint64_t>(),
           {it.at("term").get<base::TermNumber>(),
@@ -41,6 +62,8 @@
 std::string encode(const SyncRequest &it) {
   return json{{"node", it.Node},
               {"view_revision", it.ViewRevision},
+              {"view_digest", it.ViewDigest},
+              {"servers_digest", it.ServersDigest},
               {"config_version", it.ConfigVersion},
               {"view", it.View}}
       .dump();
@@ -50,13 +73,20 @@
   json positions = json::object();
   for (const auto &[group, report] : it.Positions)
     positions[group] = toJson(report);
-  return json{{"view", it.View},
-              {"view_revision", it.ViewRevision},
-              {"view_age_ms", it.ViewAge.count()},
-              {"config", it.Config},
-              {"change_pending", it.ChangePending},
-              {"positions", positions}}
-      .dump();
+  json body{{"view", it.View},
+            {"view_revision", it.ViewRevision},
+            {"view_age_ms", it.ViewAge.count()},
+            {"config", it.Config},
+            {"config_age_ms", it.ConfigAge.count()},
+            {"servers_age_ms", it.ServersAge.count()},
+            {"change_pending", it.ChangePending},
+            {"positions", positions}};
+  if (it.Servers) {
+    body["servers"] = json::array();
+    for (const auto &server : *it.Servers)
+      body["servers"].push_back(toJson(server));
+  }
+  return body.dump();
 }
 
 std::string encode(const RevokeRequest &it) {
@@ -75,10 +105,20 @@
   return json{{"group", it.Group}, {"suspected", it.Suspected}}.dump();
 }
 
+std::uint64_t
+digestOf(const std::vector<cluster::ServerRegistration> &servers) {
+  std::string text;
+  for (const auto &it : servers)
+    text += toJson(it).dump();
+  return base::hash64(text);
+}
+
 std::optional<SyncRequest> decodeSyncRequest(const std::string &text) {
   return decode(text, [](const json &it) {
     return SyncRequest{it.at("node").get<std::string>(),
                        it.at("view_revision").get<std::uint64_t>(),
+                       it.at("view_digest").get<std::uint64_t>(),
+                       it.at("servers_digest").get<std::uint64_t>(),
                        it.at("config_version").get<std::uint64_t>(),
                        it.at("view").get<std::string>()};
   });
@@ -86,12 +126,19 @@
 
 std::optional<SyncReply> decodeSyncReply(const std::string &text) {
   return decode(text, [](const json &it) {
-    SyncReply reply{it.at("view").get<std::string>(),
-                    it.at("view_revision").get<std::uint64_t>(),
-                    millis(it.at("view_age_ms")),
-                    it.at("config").get<std::string>(),
-                    it.at("change_pending").get<bool>(),
-                    {}};
+    SyncReply reply;
+    reply.View = it.at("view").get<std::string>();
+    reply.ViewRevision = it.at("view_revision").get<std::uint64_t>();
+    reply.ViewAge = millis(it.at("view_age_ms"));
+    reply.Config = it.at("config").get<std::string>();
+    reply.ConfigAge = millis(it.at("config_age_ms"));
+    reply.ServersAge = millis(it.at("servers_age_ms"));
+    reply.ChangePending = it.at("change_pending").get<bool>();
+    if (it.contains("servers")) {
+      reply.Servers.emplace();
+      for (const json &server : it["servers"])
+        reply.Servers->push_back(serverFrom(server));
+    }
     for (const auto &[group, report] : it.at("positions").items())
       reply.Positions[group] = positionFrom(report);
     return reply;
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -26,6 +26,8 @@
 struct SyncRequest {
   std::string Node;
   std::uint64_t ViewRevision = 0;
+  std::uint64_t ViewDigest = 0;
+  std::uint64_t ServersDigest = 0;
   std::uint64_t ConfigVersion = 0;
   /// The caller's own view, pushed when it has just changed; empty otherwise.
   std::string View;
@@ -39,13 +41,17 @@
 };
 
 struct SyncReply {
-  /// Set when newer than the caller's, or of the same revision: see ViewAge.
+  /// Set when it is not older than the caller's and has other records.
   std::string View;
   std::uint64_t ViewRevision = 0;
   /// Time since the store confirmed the view.
   std::chrono::milliseconds ViewAge{0};
   /// The configuration document when newer than the caller's.
   std::string Config;
+  std::chrono::milliseconds ConfigAge{0};
+  /// All usable registrations when they differ from the caller's.
+  std::optional<std::vector<cluster::ServerRegistration>> Servers;
+  std::chrono::milliseconds ServersAge{0};
   /// A change of the records is under way whose outcome is not known yet.
   bool ChangePending = false;
   std::map<base::GroupName, PositionReport> Positions;
@@ -78,6 +84,9 @@
 std::string encode(const RevokeRequest &it);
 std::string encode(const EvidenceReply &it);
 std::string encode(const EvidenceRequest &it);
+/// Identifies a set of registrations.
+std::uint64_t
+digestOf(const std::vector<cluster::ServerRegistration> &servers);
 std::optional<SyncRequest> decodeSyncRequest(const std::string &text);
 std::optional<SyncReply> decodeSyncReply(const std::string &text);
 std::optional<RevokeRequest> decodeRevokeRequest(const std::string &text);
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -17,6 +17,11 @@
 /// The platform stops sending new connections after two missed checks, one a
 /// second.
 constexpr milliseconds NewConnectionsEnd{2300};
+/// A node with an older view cannot be sure of its primaries for long. Turning
+/// unready lets clients connect to another availability zone.
+constexpr milliseconds UnreadyViewAge{1300};
+/// After this the platform has stopped sending new connections here.
+constexpr milliseconds UnreadyLimit{2200};
 /// Left for the process to end before it is killed.
 constexpr milliseconds StopMargin{600};
 
@@ -140,13 +145,29 @@
         .add("ready", ready ? "yes" : "no")
         .add("view_age_ms", Cluster->viewAge())
         .add("draining", Draining ? "yes" : "no");
+  auto now = base::BootClock::now();
+  if (ready || Sessions.empty()) {
+    ReadyUntil = now;
+    return;
+  }
+  // Clients that stay would be refused; elsewhere they may be served.
+  if (Draining || now - ReadyUntil < UnreadyLimit)
+    return;
+  ReadyUntil = now;
+  Log.line("sessions_dismissed")
+      .add("reason", "not_ready")
+      .add("sessions", static_cast<std::int64_t>(Sessions.size()))
+      .add("view_age_ms", Cluster->viewAge());
+  auto sessions = Sessions;
+  for (const auto &[raw, it] : sessions)
+    it->drain();
 }
 
 bool FrontendService::isReady() const {
   if (Draining || !Cluster->configuration() || Groups.empty())
     return false;
   // A node that may use no primary at all serves only part of the clients.
-  return Cluster->viewAge() < cluster::PrimaryLease;
+  return Cluster->viewAge() < UnreadyViewAge;
 }
 
 void FrontendService::countStatement(const cluster::Route &route,
--- a/baobabpin/frontend/FrontendService.h
+++ b/baobabpin/frontend/FrontendService.h
@@ -59,6 +59,7 @@
   kernel::Timer DrainTicker;
   bool Draining = false;
   bool LastReady = false;
+  base::BootTime ReadyUntil{};
   base::BootTime DrainStarted{};
   std::function<void()> OnDrained;
 };
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -13,9 +13,9 @@
 
 /// Several probes fit into SuspectAfter, and samples stay fine enough for every
 /// staleness.
-constexpr milliseconds ProbePeriod{250};
+constexpr milliseconds ProbePeriod{200};
 /// A probe needs no slot, so a healthy server replies in a few milliseconds.
-constexpr milliseconds ProbeTimeout{450};
+constexpr milliseconds ProbeTimeout{350};
 /// How long a move waits for commits in flight at the old primary.
 constexpr milliseconds DrainLimit{200};
 
