Send statements through the owner of a server's connections

Cause: 16 connections a server before 9 nodes. Ruled out: giving idle connections back sooner (transactions hold most of them, each new one costs 12 ms of a slot); refusing at once (the clients' other nodes have no connection either). Change: with fewer than 3 connections a node, one node in the server's zone owns its connections (at most 3/4 of the limit); others send statements to it over one channel, and connect by themselves when no owner answers.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -23,6 +23,8 @@
 json toJson(const NodeRecord &it) {
   return {{"incarnation", it.Incarnation},
           {"peer", http::formatEndpoint(it.Peer)},
+          {"relay", http::formatEndpoint(it.Relay)},
+          {"zone", it.Zone},
           {"retired", it.Retired}};
 }
 
@@ -42,6 +44,8 @@
 NodeRecord nodeFrom(const json &it) {
   return {.Incarnation = it.at("incarnation").get<std::uint64_t>(),
           .Peer = http::parseEndpoint(it.at("peer").get<std::string>()),
+          .Relay = http::parseEndpoint(it.at("relay").get<std::string>()),
+          .Zone = it.at("zone").get<std::string>(),
           .Retired = it.at("retired").get<bool>()};
 }
 
--- /dev/null
+++ b/baobabpin/cluster/ConnectionPlan.h
@@ -0,0 +1,35 @@
+/// Which nodes hold connections to a server.
+///
+/// With plenty of connections each node has its own. With few, a server has an
+/// owner among the nodes, in the server's own zone where possible; the others
+/// send their statements through it. The owner sees all work for the server's
+/// slots, and the connections that a server still counts for a host that lost
+/// power leave room for those that the host opens after its restart.
+#pragma once
+
+#include "baobabpin/cluster/Types.h"
+
+#include <string>
+#include <vector>
+
+namespace baobabpin::cluster {
+
+/// A server with at least this many connections for each node is used directly.
+inline constexpr int DirectConnectionsPerNode = 3;
+/// Owners that are tried before a node connects by itself.
+inline constexpr std::size_t OwnerCandidates = 2;
+
+/// \p nodes includes this node.
+bool isDirect(int serverLimit, int nodes);
+
+struct NodePlace {
+  std::string Name;
+  base::AvailabilityZone Zone;
+};
+
+/// The nodes that may own the server's connections, best first. Every node with
+/// the same list of nodes comes to the same result.
+std::vector<std::string> rankOwners(const ServerRegistration &server,
+                                    const std::vector<NodePlace> &nodes);
+
+} // namespace baobabpin::cluster
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -90,6 +90,9 @@
   /// Start of the process, in Unix milliseconds; tells two runs apart.
   std::uint64_t Incarnation = 0;
   http::Endpoint Peer;
+  /// Where the node accepts statements for servers whose connections it owns.
+  http::Endpoint Relay;
+  base::AvailabilityZone Zone;
   /// Set by another node that could not reach this one. A node that finds
   /// itself retired registers anew before it uses a primary again.
   bool Retired = false;
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -276,7 +276,8 @@
   if (registered || Registering || Leaving)
     return;
   Registering = true;
-  cluster::NodeRecord record{Self.Incarnation, Settings.Peers, false};
+  cluster::NodeRecord record{Self.Incarnation, Settings.Peers, Settings.Relay,
+                             Settings.Zone, false};
   std::uint64_t revision = it == View.Nodes.end() ? 0 : it->second.Revision;
   change({{std::string(platform::OwnPrefix) + cluster::NodeKeyPart + Self.Node,
            cluster::encodeRecord(record), revision, false}},
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds TickPeriod{50};
 constexpr milliseconds SweepPeriod{250};
 constexpr milliseconds DrainTickPeriod{50};
+/// The node that has the client ends an idle transaction first.
+constexpr milliseconds RelayedIdleMargin{1000};
 /// The platform stops sending new connections after two missed checks, one a
 /// second.
 constexpr milliseconds NewConnectionsEnd{2300};
@@ -79,6 +81,11 @@
                                        Kernel->metrics().render());
                   });
   BOOST_LEAF_CHECK(Metrics->listen(Settings.Metrics));
+  ServerOwners =
+      std::make_unique<Owners>(loop, Log, *Cluster, Settings.Zone);
+  Relay = std::make_unique<RelayServer>(
+      loop, Log, [this](const base::GroupName &name) { return group(name); });
+  BOOST_LEAF_CHECK(Relay->listen(Settings.Relay));
   Clients = std::make_unique<net::Listener>(loop);
   BOOST_LEAF_CHECK(Clients->listen(Settings.Clients, [this](int fd) {
     auto session = std::make_shared<Session>(*Context, fd);
@@ -90,6 +97,8 @@
     auto now = base::BootClock::now();
     for (const auto &[raw, it] : Sessions)
       it->sweep(now);
+    if (const auto *config = Cluster->configuration())
+      Relay->sweep(now, config->TransactionIdle + RelayedIdleMargin);
   });
   return {};
 }
@@ -124,19 +133,21 @@
 
 void FrontendService::onClusterChanged() {
   const auto *config = Cluster->configuration();
-  if (!config)
+  if (!config || !ServerOwners)
     return;
+  ServerOwners->refresh();
   for (const auto &[name, it] : config->Groups) {
     auto &group = Groups[name];
     if (!group)
-      group = std::make_shared<GroupProxy>(Kernel->loop(), *Cluster, name,
-                                           Settings.Zone);
+      group = std::make_shared<GroupProxy>(
+          Kernel->loop(), *Cluster, *ServerOwners, name, Settings.Zone);
   }
   for (const auto &[name, it] : Groups)
     it->refresh();
 }
 
 void FrontendService::tick() {
+  ServerOwners->tick(base::BootClock::now());
   for (const auto &[name, it] : Groups)
     it->tick();
   bool ready = isReady();
@@ -283,6 +294,7 @@
   if (Draining)
     return;
   Draining = true;
+  Relay->setLeaving();
   OnDrained = std::move(done);
   DrainStarted = base::BootClock::now();
   Log.line("draining").add("sessions",
@@ -303,7 +315,8 @@
       it->drain();
   }
   bool over = elapsed >= Settings.StopGrace - StopMargin;
-  bool empty = Sessions.empty() && elapsed >= NewConnectionsEnd;
+  bool empty = Sessions.empty() && Relay->openTransactions() == 0 &&
+               elapsed >= NewConnectionsEnd;
   if (!over && !empty)
     return;
   Log.line("drained")
--- a/baobabpin/frontend/FrontendService.h
+++ b/baobabpin/frontend/FrontendService.h
@@ -3,6 +3,7 @@
 
 #include "baobabpin/control/ClusterService.h"
 #include "baobabpin/control/FailoverService.h"
+#include "baobabpin/frontend/RelayServer.h"
 #include "baobabpin/frontend/Session.h"
 #include "baobabpin/http/HttpServer.h"
 #include "baobabpin/kernel/Kernel.h"
@@ -50,6 +51,8 @@
   control::ClusterService *Cluster = nullptr;
   std::unique_ptr<SessionContext> Context;
   std::unique_ptr<net::Listener> Clients;
+  std::unique_ptr<Owners> ServerOwners;
+  std::unique_ptr<RelayServer> Relay;
   std::unique_ptr<http::HttpServer> Readiness;
   std::unique_ptr<http::HttpServer> Metrics;
   std::map<base::GroupName, std::shared_ptr<GroupProxy>> Groups;
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -16,26 +16,22 @@
 constexpr milliseconds ProbePeriod{200};
 /// A probe needs no slot, so a healthy server replies in a few milliseconds.
 constexpr milliseconds ProbeTimeout{350};
+/// A guest that has not heard of the primary for this long connects to it.
+constexpr milliseconds DirectProbeAfter{320};
 /// How long a move waits for commits in flight at the old primary.
 constexpr milliseconds DrainLimit{200};
 
 } // namespace
 
 GroupProxy::GroupProxy(kernel::EventLoop &loop,
-                       control::ClusterService &cluster, base::GroupName name,
-                       base::AvailabilityZone zone)
-    : Loop(loop), Cluster(cluster), Name(std::move(name)),
+                       control::ClusterService &cluster, Owners &owners,
+                       base::GroupName name, base::AvailabilityZone zone)
+    : Loop(loop), Cluster(cluster), Routes(owners), Name(std::move(name)),
       Zone(std::move(zone)) {}
 
 GroupProxy::~GroupProxy() = default;
 
 void GroupProxy::refresh() {
-  const auto *config = Cluster.configuration();
-  int limit = 1;
-  if (config && config->Groups.contains(Name))
-    limit = config->Groups.at(Name).MaxConnections;
-  auto share = pooling::shareConnections(
-      limit, static_cast<int>(Cluster.peers().size()) + 1);
   for (const auto &[id, server] : Cluster.servers()) {
     if (server.Group != Name)
       continue;
@@ -47,7 +43,7 @@
     if (!pool)
       pool = std::make_shared<pooling::ServerPool>(Loop, server);
     pool->update(server);
-    pool->setShare(share);
+    pool->setShare(shareOf(server));
   }
   std::erase_if(Pools, [&](auto &entry) {
     if (Cluster.servers().contains(entry.first))
@@ -64,11 +60,30 @@
       choice.Epoch != LastEpoch) {
     LastEpoch = choice.Epoch;
     PrimarySince = base::BootClock::now();
+    OwnerHeard = {};
   }
   if (choice.Pool)
     ResumeTimer = Loop.runAfter({}, [this] { resumeWaiting(); });
 }
 
+pooling::ConnectionShare
+GroupProxy::shareOf(const cluster::ServerRegistration &server) {
+  const auto *config = Cluster.configuration();
+  int limit = 1;
+  if (config && config->Groups.contains(Name))
+    limit = config->Groups.at(Name).MaxConnections;
+  switch (Routes.reach(server)) {
+  case ServerReach::Direct:
+    return pooling::shareConnections(
+        limit, static_cast<int>(Cluster.peers().size()) + 1);
+  case ServerReach::Owner:
+    return pooling::ownerShare(limit);
+  case ServerReach::Guest:
+    break;
+  }
+  return pooling::guestShare(limit);
+}
+
 void GroupProxy::resumeWaiting() {
   auto waiting = std::exchange(WaitingForPrimary, {});
   for (const auto &it : waiting) {
@@ -164,11 +179,54 @@
                               base::BootTime now) {
   bool recent = History.Epoch == choice.Epoch && !History.Samples.empty() &&
                 now - History.Samples.back().SentAt < ProbePeriod;
-  if (recent || ProbeRunning)
+  if (recent)
     return;
-  pooling::LinkPtr link = choice.Pool->takeIdle();
-  if (!link)
+  auto heard = observePrimary().HeardAge;
+  bool silent = heard && *heard > DirectProbeAfter;
+  // Whether the primary is gone, or its owner, shows only directly.
+  if (silent && !ProbeRunning && !ProbeWaiter && !choice.Pool->hasIdle()) {
+    ProbeWaiter = std::make_shared<pooling::Waiter>();
+    ProbeWaiter->Priority = -1;
+    ProbeWaiter->OnGranted = [this, choice](const pooling::LinkPtr &link) {
+      ProbeWaiter.reset();
+      probeDirectly(choice, link);
+    };
+    ProbeWaiter->OnRefused = [this](sql::ErrorCode) { ProbeWaiter.reset(); };
+    auto waiter = ProbeWaiter;
+    choice.Pool->acquire(waiter);
     return;
+  }
+  if (ProbeRunning)
+    return;
+  if (pooling::LinkPtr link = choice.Pool->takeIdle())
+    probeDirectly(choice, link);
+  else if (ChannelPtr channel = channelFor(*choice.Pool))
+    probeThroughOwner(channel, choice.Epoch);
+}
+
+void GroupProxy::probeThroughOwner(const ChannelPtr &channel,
+                                   std::uint64_t epoch) {
+  ProbeRunning = true;
+  relay::Request request;
+  request.Kind = relay::RequestKind::Probe;
+  request.Group = Name;
+  auto sentAt = base::BootClock::now();
+  channel->send(std::move(request),
+                [this, sentAt, epoch](const std::optional<relay::Reply> &it) {
+                  ProbeRunning = false;
+                  if (!it || it->Epoch != epoch)
+                    return;
+                  if (it->Position)
+                    cluster::recordSample(History, it->Epoch,
+                                          sentAt - it->PositionAge,
+                                          *it->Position);
+                  if (it->HeardAge)
+                    OwnerHeard = std::max(OwnerHeard, sentAt - *it->HeardAge);
+                });
+}
+
+void GroupProxy::probeDirectly(const PrimaryChoice &choice,
+                               const pooling::LinkPtr &link) {
   ProbeRunning = true;
   auto pool = choice.Pool;
   auto epoch = choice.Epoch;
@@ -237,7 +295,8 @@
   if (!server)
     return it;
   it.Unreachable = server->condition().Unreachable;
-  auto heard = std::max(server->condition().LastHeard, PrimarySince);
+  auto heard = std::max(
+      {server->condition().LastHeard, PrimarySince, OwnerHeard});
   if (heard != base::BootTime{})
     it.HeardAge = base::BootClock::now() - heard;
   return it;
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -5,6 +5,7 @@
 #include "baobabpin/cluster/PositionHistory.h"
 #include "baobabpin/cluster/MoveDecision.h"
 #include "baobabpin/control/ClusterService.h"
+#include "baobabpin/frontend/Owners.h"
 #include "baobabpin/pooling/ServerPool.h"
 
 #include <functional>
@@ -29,7 +30,7 @@
 class GroupProxy {
 public:
   GroupProxy(kernel::EventLoop &loop, control::ClusterService &cluster,
-             base::GroupName name, base::AvailabilityZone zone);
+             Owners &owners, base::GroupName name, base::AvailabilityZone zone);
   ~GroupProxy();
   GroupProxy(const GroupProxy &) = delete;
   GroupProxy &operator=(const GroupProxy &) = delete;
@@ -46,6 +47,12 @@
   PoolPtr chooseForRead(base::LogPosition wanted,
                         const std::set<base::ServerId> &excluded) const;
 
+  /// The channel to the owner of the server's connections, or null when this
+  /// node connects by itself.
+  ChannelPtr channelFor(const pooling::ServerPool &pool) {
+    return Routes.channelFor(pool.server());
+  }
+
   /// Notes a reply of \p pool; \p epoch is the one in which the statement was
   /// sent, if the pool was the usable primary then.
   void observe(pooling::ServerPool &pool, base::BootTime sentAt,
@@ -71,10 +78,15 @@
 
 private:
   void probePrimary(const PrimaryChoice &choice, base::BootTime now);
+  void probeDirectly(const PrimaryChoice &choice,
+                     const pooling::LinkPtr &link);
+  void probeThroughOwner(const ChannelPtr &channel, std::uint64_t epoch);
+  pooling::ConnectionShare shareOf(const cluster::ServerRegistration &server);
   void resumeWaiting();
 
   kernel::EventLoop &Loop;
   control::ClusterService &Cluster;
+  Owners &Routes;
   base::GroupName Name;
   base::AvailabilityZone Zone;
   std::map<base::ServerId, PoolPtr> Pools;
@@ -87,7 +99,10 @@
   std::uint64_t LastEpoch = 0;
   /// When the present primary began to be used.
   base::BootTime PrimarySince{};
+  /// When the owner of the primary's connections last heard the primary.
+  base::BootTime OwnerHeard{};
   bool ProbeRunning = false;
+  pooling::WaiterPtr ProbeWaiter;
   kernel::Timer ResumeTimer;
 };
 
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -289,11 +289,8 @@
   request.Values = Values;
   if (Transaction && changes)
     Transaction->Wrote = true;
-  if (Transaction && Transaction->Link) {
-    request.PinnedPool = Transaction->Pool;
-    request.PinnedLink = std::exchange(Transaction->Link, nullptr);
-    request.PinnedEpoch = Transaction->Epoch;
-    request.PinnedToPrimary = Transaction->OnPrimary;
+  if (Transaction && Transaction->Pinned.isOpen()) {
+    request.Pinned = std::exchange(Transaction->Pinned, {});
   } else if (Transaction) {
     request.Begin = Transaction->ReadOnly ? Verb::BeginReadOnly : Verb::Begin;
   }
@@ -316,23 +313,20 @@
   Run.reset();
   auto now = base::BootClock::now();
   Context.OnStatement(route, result.Reply, now - arrived);
+  if (writes && result.Reply.succeeded() && result.Reply.Position) {
+    OwnCommit = result.Reply.Position;
+    OwnEpoch = result.Pinned.Epoch;
+  }
   if (Transaction) {
     Transaction->LastActive = now;
     if (verb == Verb::Commit) {
       Transaction.reset();
     } else if (result.Reply.succeeded()) {
-      Transaction->Pool = std::move(result.Pool);
-      Transaction->Link = std::move(result.Link);
-      Transaction->Epoch = result.Epoch;
-      Transaction->OnPrimary = result.OnPrimary;
+      Transaction->Pinned = std::move(result.Pinned);
     } else {
       Transaction->Failed = true;
     }
   }
-  if (writes && result.Reply.succeeded() && result.Reply.Position) {
-    OwnCommit = result.Reply.Position;
-    OwnEpoch = result.Epoch;
-  }
   reply(result.Reply);
   processNext();
 }
@@ -343,13 +337,13 @@
 }
 
 void Session::releaseTransactionLink() {
-  if (!Transaction || !Transaction->Link)
+  if (!Transaction || !Transaction->Pinned.isOpen())
     return;
-  auto link = std::exchange(Transaction->Link, nullptr);
+  auto pinned = std::exchange(Transaction->Pinned, {});
   if (auto group = Context.Group(Transaction->Route.Group))
-    group->releaseClean(Transaction->Pool, link);
-  else
-    Transaction->Pool->release(link);
+    rollBack(*group, std::move(pinned));
+  else if (pinned.Link)
+    pinned.Pool->release(pinned.Link);
 }
 
 void Session::sweep(base::BootTime now) {
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -61,10 +61,7 @@
     std::string PendingAbort;
     base::BootTime Began{};
     base::BootTime LastActive{};
-    PoolPtr Pool;
-    pooling::LinkPtr Link;
-    std::uint64_t Epoch = 0;
-    bool OnPrimary = false;
+    PinnedTransaction Pinned;
   };
 
   void onLine(std::string_view line);
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -50,15 +50,19 @@
     place();
     return;
   }
-  Pool = Request.PinnedPool;
-  Epoch = Request.PinnedEpoch;
+  Pool = Request.Pinned.Pool;
+  Epoch = Request.Pinned.Epoch;
   GrantedAt = base::BootClock::now();
-  if (!Request.PinnedLink->isIdle()) {
+  if (Request.Pinned.Channel) {
+    sendThroughOwner(Request.Pinned.Channel, Request.Pinned.Token);
+    return;
+  }
+  if (!Request.Pinned.Link->isIdle()) {
     finish(ErrorCode::Aborted, "connection_lost");
     return;
   }
-  Link = Request.PinnedLink;
-  if (Request.PinnedToPrimary && Request.Writes && !isStillPrimary()) {
+  Link = Request.Pinned.Link;
+  if (Request.Pinned.OnPrimary && Request.Writes && !isStillPrimary()) {
     finish(ErrorCode::Aborted, "primary_replaced");
     return;
   }
@@ -95,12 +99,27 @@
 
 void StatementRun::place() {
   Resume.reset();
-  if (Request.NeedsPrimary)
+  if (Request.FixedServer)
+    placeFixed();
+  else if (Request.NeedsPrimary)
     placeOnPrimary();
   else
     placeOnReplica();
 }
 
+void StatementRun::placeFixed() {
+  WaitFor = Request.FixedWaitFor;
+  PoolPtr pool = Group->pool(*Request.FixedServer);
+  auto choice = Group->primary();
+  bool onPrimary = choice.Pool && choice.Pool == pool;
+  if (!pool || (!onPrimary && (Request.NeedsPrimary || !WaitFor))) {
+    finish(ErrorCode::Busy, pool ? "not_the_primary" : "unknown_server");
+    return;
+  }
+  Epoch = onPrimary ? choice.Epoch : 0;
+  acquire(pool);
+}
+
 void StatementRun::placeOnPrimary() {
   auto choice = Group->primary();
   WaitFor.reset();
@@ -147,6 +166,13 @@
 void StatementRun::acquire(const PoolPtr &pool) {
   ++Tries;
   Pool = pool;
+  if (!Request.FixedServer) {
+    if (ChannelPtr channel = Group->channelFor(*pool)) {
+      GrantedAt = base::BootClock::now();
+      sendThroughOwner(channel, 0);
+      return;
+    }
+  }
   Waiter = std::make_shared<pooling::Waiter>();
   Waiter->Priority = Request.Route.Priority;
   Waiter->Deadline = Deadline;
@@ -279,7 +305,77 @@
             [self = shared_from_this()](const std::vector<sql::Reply> &replies) {
               self->onReply(replies.back());
             });
-  if (Request.Writes || isPinned())
+  watchReply();
+}
+
+void StatementRun::sendThroughOwner(const ChannelPtr &channel,
+                                    std::uint64_t token) {
+  relay::Request request;
+  request.Kind = relay::RequestKind::Run;
+  request.Group = Group->name();
+  request.Server = Pool->server().Id;
+  request.Transaction = token;
+  request.StatementId = Request.Id;
+  request.Statement = Request.Statement;
+  request.Database = Request.Route.Database;
+  request.Reads = Request.Route.Reads;
+  request.Priority = Request.Route.Priority;
+  RelayedAt = base::BootClock::now();
+  request.TimeLeft =
+      std::chrono::floor<milliseconds>(Deadline - RelayedAt);
+  request.Writes = Request.Writes;
+  request.NeedsPrimary = Request.NeedsPrimary;
+  request.Begin = Request.Begin;
+  request.WaitFor = WaitFor;
+  request.Values = Request.Values;
+  request.Prepared = Request.Prepared;
+  Sent = true;
+  Relay = channel;
+  channel->send(std::move(request),
+                [weak = weak_from_this(), n = ++RelayTry,
+                 channel](std::optional<relay::Reply> reply) {
+                  auto self = weak.lock();
+                  if (self && self->OnDone && self->RelayTry == n) {
+                    self->onRelayed(std::move(reply));
+                    return;
+                  }
+                  // Nobody waits any more, so nobody would end it.
+                  if (reply && reply->Transaction != 0)
+                    channel->release(reply->Transaction);
+                });
+  if (Relay)
+    watchReply();
+}
+
+void StatementRun::onRelayed(std::optional<relay::Reply> reply) {
+  auto self = shared_from_this();
+  SlowTimer.cancel();
+  ChannelPtr channel = std::exchange(Relay, nullptr);
+  if (!reply || reply->Result.Lost) {
+    onLost();
+    return;
+  }
+  std::optional<std::uint64_t> epoch;
+  if (reply->OnPrimary)
+    epoch = reply->Epoch;
+  Group->observe(*Pool, RelayedAt, reply->Result, epoch);
+  Epoch = reply->OnPrimary ? reply->Epoch : 0;
+  if (reply->Result.Error) {
+    onError(reply->Result);
+    return;
+  }
+  RunResult result;
+  result.Reply = std::move(reply->Result);
+  result.Pinned = {Pool, nullptr, nullptr, reply->Transaction, reply->Epoch,
+                   reply->OnPrimary};
+  if (reply->Transaction != 0)
+    result.Pinned.Channel = channel;
+  Request.Pinned = {};
+  finish(std::move(result), "ok");
+}
+
+void StatementRun::watchReply() {
+  if (Request.Writes || isPinned() || Request.FixedServer)
     return;
   auto patience = std::max<std::chrono::nanoseconds>(
       SlowReplyFloor, SlowReplyFactor * Pool->condition().Latency);
@@ -290,7 +386,7 @@
 }
 
 void StatementRun::onSlowReply() {
-  if (!Link || Tries >= MaxTries)
+  if ((!Link && !Relay) || Tries >= MaxTries)
     return;
   retryElsewhere(ErrorCode::Busy, "slow_reply");
 }
@@ -349,11 +445,11 @@
   RunResult result;
   bool open = reply.State == sql::TransactionState::Open;
   result.Reply = std::move(reply);
-  result.Epoch = Epoch;
-  result.OnPrimary = Epoch != 0;
+  result.Pinned.Epoch = Epoch;
+  result.Pinned.OnPrimary = Epoch != 0;
   if (open) {
-    result.Pool = Pool;
-    result.Link = std::exchange(Link, nullptr);
+    result.Pinned.Pool = Pool;
+    result.Pinned.Link = std::exchange(Link, nullptr);
   }
   finish(std::move(result), "ok");
 }
@@ -370,7 +466,7 @@
       .add("reason", reason)
       .add("try", Tries);
   Sent = false;
-  if (Tries >= MaxTries) {
+  if (Tries >= MaxTries || Request.FixedServer) {
     finish(code, reason);
     return;
   }
@@ -396,12 +492,22 @@
 }
 
 void StatementRun::releaseLink() {
+  // A reply that comes later finds that this try is over.
+  if (std::exchange(Relay, nullptr))
+    ++RelayTry;
+  auto pinned = std::exchange(Request.Pinned, {});
+  if (pinned.Channel)
+    rollBack(*Group, std::move(pinned));
   auto link = std::exchange(Link, nullptr);
-  if (!link)
-    return;
-  if (isPinned())
-    Request.PinnedLink.reset();
-  Group->releaseClean(Pool, link);
+  if (link)
+    Group->releaseClean(Pool, link);
+}
+
+void rollBack(GroupProxy &group, PinnedTransaction transaction) {
+  if (transaction.Channel)
+    transaction.Channel->release(transaction.Token);
+  else if (transaction.Link)
+    group.releaseClean(transaction.Pool, transaction.Link);
 }
 
 void StatementRun::finish(ErrorCode code, std::string_view reason) {
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "baobabpin/frontend/GroupProxy.h"
+#include "baobabpin/relay/Channel.h"
 #include "baobabpin/kernel/LineLog.h"
 
 #include <functional>
@@ -17,12 +18,26 @@
 
 namespace baobabpin::frontend {
 
-/// A statement that a session prepared.
-struct PreparedStatement {
-  sql::Access Access = sql::Access::Read;
-  std::string Shape;
+using relay::PreparedStatement;
+
+/// Where a transaction runs: at a connection of this node, or through the owner
+/// of the server's connections.
+struct PinnedTransaction {
+  PoolPtr Pool;
+  pooling::LinkPtr Link;
+  ChannelPtr Channel;
+  /// The owner's number of the transaction.
+  std::uint64_t Token = 0;
+  /// Epoch of the primary that runs it; 0 on a replica.
+  std::uint64_t Epoch = 0;
+  bool OnPrimary = false;
+
+  bool isOpen() const { return Link != nullptr || Channel != nullptr; }
 };
 
+/// Rolls the transaction back, without waiting.
+void rollBack(GroupProxy &group, PinnedTransaction transaction);
+
 struct RunRequest {
   std::string Id;
   sql::Statement Statement;
@@ -41,20 +56,17 @@
   std::map<std::string, std::string> Values;
   /// The statement that Execute names.
   std::optional<PreparedStatement> Prepared;
-  /// The transaction's connection, after its first statement.
-  PoolPtr PinnedPool;
-  pooling::LinkPtr PinnedLink;
-  std::uint64_t PinnedEpoch = 0;
-  bool PinnedToPrimary = false;
+  /// The transaction, after its first statement.
+  PinnedTransaction Pinned;
+  /// Set for a statement of another node, which has chosen the server.
+  std::optional<base::ServerId> FixedServer;
+  std::optional<base::LogPosition> FixedWaitFor;
 };
 
 struct RunResult {
   sql::Reply Reply;
-  /// The transaction's connection, when it goes on.
-  PoolPtr Pool;
-  pooling::LinkPtr Link;
-  std::uint64_t Epoch = 0;
-  bool OnPrimary = false;
+  /// Open when the transaction goes on. Epoch and OnPrimary are always set.
+  PinnedTransaction Pinned;
 };
 
 class StatementRun : public std::enable_shared_from_this<StatementRun> {
@@ -73,7 +85,11 @@
   void place();
   void placeOnPrimary();
   void placeOnReplica();
+  void placeFixed();
   void acquire(const PoolPtr &pool);
+  void sendThroughOwner(const ChannelPtr &channel, std::uint64_t token);
+  void onRelayed(std::optional<relay::Reply> reply);
+  void watchReply();
   void onGranted(const pooling::LinkPtr &link);
   void onRefused(sql::ErrorCode code);
   void prepareLink();
@@ -93,7 +109,7 @@
   void waitForCommit();
   void finish(sql::ErrorCode code, std::string_view reason);
   void finish(RunResult result, std::string_view reason);
-  bool isPinned() const { return Request.PinnedLink != nullptr; }
+  bool isPinned() const { return Request.Pinned.isOpen(); }
   bool isStillPrimary() const;
 
   kernel::EventLoop &Loop;
@@ -105,6 +121,11 @@
   base::BootTime GrantedAt{};
   PoolPtr Pool;
   pooling::LinkPtr Link;
+  /// The owner that runs the statement; its reply is outstanding.
+  ChannelPtr Relay;
+  /// Distinguishes the outstanding reply from those of earlier tries.
+  int RelayTry = 0;
+  base::BootTime RelayedAt{};
   pooling::WaiterPtr Waiter;
   GroupProxy::ResumeHandle Resume;
   /// Epoch of the primary that runs the statement; 0 on a replica.
--- a/baobabpin/pooling/PoolPolicy.cpp
+++ b/baobabpin/pooling/PoolPolicy.cpp
@@ -7,6 +7,8 @@
 
 /// One node may borrow at most this part of a server's connections.
 constexpr int BorrowDivisor = 3;
+constexpr int OwnerWarmConnections = 3;
+constexpr int GuestDivisor = 8;
 
 } // namespace
 
@@ -17,6 +19,15 @@
   return it;
 }
 
+ConnectionShare ownerShare(int serverLimit) {
+  int most = std::max(1, 3 * serverLimit / 4);
+  return {std::min(OwnerWarmConnections, most), most};
+}
+
+ConnectionShare guestShare(int serverLimit) {
+  return {0, std::max(1, serverLimit / GuestDivisor)};
+}
+
 bool shouldOpen(const PoolCounts &counts, const ConnectionShare &share,
                 base::BootTime backoffUntil, base::BootTime now) {
   if (now < backoffUntil || counts.Opening >= counts.Waiting)
--- a/baobabpin/pooling/PoolPolicy.h
+++ b/baobabpin/pooling/PoolPolicy.h
@@ -14,11 +14,21 @@
 struct ConnectionShare {
   int Guaranteed = 1;
   int Most = 1;
+
+  bool operator==(const ConnectionShare &) const = default;
 };
 
-/// \p serverLimit connections are shared by \p nodes nodes.
+/// The share of each of \p nodes nodes that all connect to the server.
 ConnectionShare shareConnections(int serverLimit, int nodes);
 
+/// The share of the node that owns the server's connections. The rest is for
+/// nodes that do not reach the owner, and for the owner's own connections that
+/// the server still counts after the owner's host lost power.
+ConnectionShare ownerShare(int serverLimit);
+
+/// The share of a node that sends its work through the owner while it can.
+ConnectionShare guestShare(int serverLimit);
+
 /// After the server refused a connection for its limit, no node has one to
 /// spare for about as long as a transaction lasts.
 inline constexpr std::chrono::milliseconds LimitBackoff{250};
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -227,7 +227,7 @@
     it->close();
   }
   PoolCounts it = counts();
-  bool belowShare = it.Open + it.Opening < 1;
+  bool belowShare = it.Open + it.Opening < std::min(1, Share.Guaranteed);
   if (!Closing && !Condition.WrongIdentity && now >= BackoffUntil &&
       it.Opening == 0 && (belowShare || it.Waiting > 0)) {
     it.Waiting = std::max(it.Waiting, 1);
