Refuse sessions that open on a node about to stop

Cause: where fewer than half of a zone's nodes are in rotation the platform goes on sending connections to a stopping node.

--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -91,6 +91,8 @@
     auto session = std::make_shared<Session>(*Context, fd);
     Sessions.emplace(session.get(), session);
     session->start();
+    if (Draining && base::BootClock::now() - DrainStarted > NewConnectionsEnd)
+      session->drain();
   }));
   Ticker = loop.runEvery(TickPeriod, [this] { tick(); });
   Sweeper = loop.runEvery(SweepPeriod, [this] {
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -85,7 +85,7 @@
       return;
     }
   }
-  if (!Ended && !Run && Pending.empty())
+  if (!Ended && Opened && !Run && Pending.empty())
     maybeDrain();
 }
 
@@ -108,17 +108,27 @@
     });
     return;
   }
+  if (Draining) {
+    refuseOpen(ErrorCode::Busy, "node_stops");
+    return;
+  }
   if (route()) {
     Opened = true;
     Connection->send(platform::formatReady(TransactionState::Idle));
     processNext();
     return;
   }
-  ErrorCode code = known ? ErrorCode::UnknownDatabase : ErrorCode::Busy;
+  if (known)
+    refuseOpen(ErrorCode::UnknownDatabase, "unknown_database");
+  else
+    refuseOpen(ErrorCode::Busy, "no_configuration");
+}
+
+void Session::refuseOpen(ErrorCode code, std::string_view reason) {
   Context.Log.line("session_refused")
       .add("database", Database)
-      .add("reason", known ? "unknown_database" : "no_configuration");
-  Connection->send(platform::formatError(code, Database));
+      .add("reason", reason);
+  Connection->send(platform::formatError(code, reason));
   Connection->closeAfterSending();
   end();
 }
@@ -368,7 +378,9 @@
 
 void Session::drain() {
   Draining = true;
-  maybeDrain();
+  // A client that has not named its database yet is refused when it does.
+  if (Opened)
+    maybeDrain();
 }
 
 void Session::maybeDrain() {
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -68,6 +68,7 @@
   void processNext();
   void onOpen(const platform::OpenSession &open);
   void finishOpen();
+  void refuseOpen(sql::ErrorCode code, std::string_view reason);
   void onQuery(const platform::ClientQuery &query);
   void onFailedTransaction(const sql::Statement &it);
   bool answerLocally(const sql::Statement &it);
