--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -111,6 +111,7 @@
     relay::Reply reply;
     reply.Result.Error = code;
     reply.Result.ErrorText = text;
+    reply.RefusedByOwner = true;
     send(request, std::move(reply));
   }
 
@@ -158,6 +159,7 @@
     }
     relay::Reply reply;
     reply.Result = std::move(result.Reply);
+    reply.RefusedByOwner = reply.Result.Error && !result.FromServer;
     reply.Transaction = result.Pinned.Link ? token : 0;
     reply.Epoch = result.Pinned.Epoch;
     reply.OnPrimary = result.Pinned.OnPrimary;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -11,17 +11,19 @@
 using sql::ErrorCode;
 using std::chrono::milliseconds;
 
-/// Tries of one statement, the first included.
+/// Tries of one statement at servers that answered, the first included.
 constexpr int MaxTries = 4;
-/// Pause before the primary is tried again after it refused.
+/// Pauses before the primary is tried again. One that cannot be reached is
+/// replaced, or comes back, within the time limit of most statements.
 constexpr milliseconds PrimaryRetryDelay{25};
+constexpr milliseconds PrimaryRetryDelayLimit{100};
 /// A read without a reply after this, or after several times the server's usual
 /// latency, is tried elsewhere: its reply may be lost.
 constexpr milliseconds SlowReplyFloor{250};
 constexpr int SlowReplyFactor = 8;
 /// A commit without a reply after this much more than its time limit never gets
 /// one.
-constexpr milliseconds CommitReplyLimit{3000};
+constexpr milliseconds CommitReplyLimit{400};
 /// A connection with more prepared statements is reset.
 constexpr std::size_t MaxPreparedNames = 256;
 
@@ -128,19 +130,23 @@
     Epoch = choice.Epoch;
     acquire(choice.Pool);
     return;
-  case cluster::PrimaryUse::Moving:
-  case cluster::PrimaryUse::UnknownGroup:
-    // A move takes less than the time limit of most statements.
-    Resume = Group->waitForPrimary([weak = weak_from_this()] {
-      if (auto self = weak.lock())
-        self->place();
-    });
+  default:
+    waitOrRefuse(choice.Use, ErrorCode::Busy);
+  }
+}
+
+void StatementRun::waitOrRefuse(cluster::PrimaryUse use, ErrorCode code) {
+  // A node that lost touch cannot tell for how long; other nodes may serve.
+  if (use == cluster::PrimaryUse::LeaseExpired) {
+    finish(code, cluster::primaryUseName(use));
     return;
-  case cluster::PrimaryUse::LeaseExpired:
-  case cluster::PrimaryUse::Unregistered:
-    break;
   }
-  finish(ErrorCode::Busy, cluster::primaryUseName(choice.Use));
+  // A move, or the start of this node, takes less than the time limit of most
+  // statements, and no other node would serve the statement sooner.
+  Resume = Group->waitForPrimary([weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->place();
+  });
 }
 
 void StatementRun::placeOnReplica() {
@@ -160,7 +166,11 @@
     acquire(choice.Pool);
     return;
   }
-  finish(ErrorCode::Lagging, WaitFor ? "no_fresh_server" : "no_known_position");
+  if (!choice.Pool) {
+    waitOrRefuse(choice.Use, ErrorCode::Lagging);
+    return;
+  }
+  finish(ErrorCode::Lagging, "no_fresh_server");
 }
 
 void StatementRun::acquire(const PoolPtr &pool) {
@@ -190,7 +200,7 @@
 
 void StatementRun::onRefused(ErrorCode) {
   Waiter.reset();
-  retryElsewhere(ErrorCode::Busy, "server_unreachable");
+  retryElsewhere(ErrorCode::Busy, RetryCause::ServerUnreachable);
 }
 
 void StatementRun::onGranted(const pooling::LinkPtr &link) {
@@ -278,7 +288,8 @@
       return;
     }
     retryElsewhere(it.Error.value_or(ErrorCode::Busy),
-                   it.Lost ? "connection_lost" : "setup_refused");
+                   it.Lost ? RetryCause::ConnectionLost
+                           : RetryCause::SetupRefused);
     return;
   }
   std::optional<std::uint64_t> epoch;
@@ -361,7 +372,7 @@
   Group->observe(*Pool, RelayedAt, reply->Result, epoch);
   Epoch = reply->OnPrimary ? reply->Epoch : 0;
   if (reply->Result.Error) {
-    onError(reply->Result);
+    onError(reply->Result, !reply->RefusedByOwner);
     return;
   }
   RunResult result;
@@ -388,7 +399,7 @@
 void StatementRun::onSlowReply() {
   if ((!Link && !Relay) || Tries >= MaxTries)
     return;
-  retryElsewhere(ErrorCode::Busy, "slow_reply");
+  retryElsewhere(ErrorCode::Busy, RetryCause::SlowReply);
 }
 
 void StatementRun::onReply(const sql::Reply &reply) {
@@ -411,7 +422,7 @@
   if (reply.Lost)
     onLost();
   else if (reply.Error)
-    onError(reply);
+    onError(reply, true);
   else if (!current)
     finish(ErrorCode::InDoubt, "primary_replaced");
   else
@@ -424,19 +435,22 @@
   else if (isPinned())
     finish(ErrorCode::Aborted, "connection_lost");
   else
-    retryElsewhere(ErrorCode::Busy, "reply_lost");
+    retryElsewhere(ErrorCode::Busy, RetryCause::ReplyLost);
 }
 
-void StatementRun::onError(const sql::Reply &reply) {
+void StatementRun::onError(const sql::Reply &reply, bool fromServer) {
   bool notRun = sql::promisesNoEffect(*reply.Error);
   bool mayRepeat = notRun || (!Request.Writes &&
                               (*reply.Error == ErrorCode::Failed ||
                                *reply.Error == ErrorCode::TimedOut));
   if (!isPinned() && mayRepeat) {
-    retryElsewhere(notRun ? *reply.Error : ErrorCode::Failed, "server_refused");
+    retryElsewhere(notRun ? *reply.Error : ErrorCode::Failed,
+                   fromServer ? RetryCause::ServerRefused
+                              : RetryCause::OwnerRefused);
     return;
   }
   RunResult result;
+  result.FromServer = fromServer;
   result.Reply = reply;
   finish(std::move(result), "server_error");
 }
@@ -447,6 +461,7 @@
   result.Reply = std::move(reply);
   result.Pinned.Epoch = Epoch;
   result.Pinned.OnPrimary = Epoch != 0;
+  result.FromServer = true;
   if (open) {
     result.Pinned.Pool = Pool;
     result.Pinned.Link = std::exchange(Link, nullptr);
@@ -454,7 +469,27 @@
   finish(std::move(result), "ok");
 }
 
-void StatementRun::retryElsewhere(ErrorCode code, std::string_view reason) {
+std::string_view retryCauseName(RetryCause cause) {
+  switch (cause) {
+  case RetryCause::ServerRefused:
+    return "server_refused";
+  case RetryCause::SetupRefused:
+    return "setup_refused";
+  case RetryCause::ServerUnreachable:
+    return "server_unreachable";
+  case RetryCause::ConnectionLost:
+    return "connection_lost";
+  case RetryCause::ReplyLost:
+    return "reply_lost";
+  case RetryCause::SlowReply:
+    return "slow_reply";
+  case RetryCause::OwnerRefused:
+    break;
+  }
+  return "owner_refused";
+}
+
+void StatementRun::retryElsewhere(ErrorCode code, RetryCause cause) {
   SlowTimer.cancel();
   std::string server = Pool->server().Id;
   if (!Request.NeedsPrimary)
@@ -463,18 +498,22 @@
   Log.line("statement_retry")
       .add("id", Request.Id)
       .add("server", server)
-      .add("reason", reason)
+      .add("reason", retryCauseName(cause))
       .add("try", Tries);
   Sent = false;
-  if (Tries >= MaxTries || Request.FixedServer) {
-    finish(code, reason);
+  bool refused = cause == RetryCause::ServerRefused ||
+                 cause == RetryCause::SetupRefused;
+  bool mayWait = Request.NeedsPrimary && !refused;
+  if ((Tries >= MaxTries && !mayWait) || Request.FixedServer) {
+    finish(code, retryCauseName(cause));
     return;
   }
   if (!Request.NeedsPrimary) {
     place();
     return;
   }
-  RetryTimer = Loop.runAfter(PrimaryRetryDelay, [weak = weak_from_this()] {
+  auto delay = std::min(PrimaryRetryDelay * Tries, PrimaryRetryDelayLimit);
+  RetryTimer = Loop.runAfter(delay, [weak = weak_from_this()] {
     if (auto self = weak.lock())
       self->place();
   });
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -67,8 +67,23 @@
   sql::Reply Reply;
   /// Open when the transaction goes on. Epoch and OnPrimary are always set.
   PinnedTransaction Pinned;
+  /// The reply is a server's, not this node's own refusal.
+  bool FromServer = false;
 };
 
+/// Why a statement is placed again.
+enum class RetryCause {
+  ServerRefused,
+  SetupRefused,
+  ServerUnreachable,
+  ConnectionLost,
+  ReplyLost,
+  SlowReply,
+  OwnerRefused,
+};
+
+std::string_view retryCauseName(RetryCause cause);
+
 class StatementRun : public std::enable_shared_from_this<StatementRun> {
 public:
   using Callback = std::function<void(RunResult)>;
@@ -86,6 +101,9 @@
   void placeOnPrimary();
   void placeOnReplica();
   void placeFixed();
+  /// Without a usable primary: waits for one if that is worth it, or ends with
+  /// \p code.
+  void waitOrRefuse(cluster::PrimaryUse use, sql::ErrorCode code);
   void acquire(const PoolPtr &pool);
   void sendThroughOwner(const ChannelPtr &channel, std::uint64_t token);
   void onRelayed(std::optional<relay::Reply> reply);
@@ -97,11 +115,11 @@
   void sendStatement();
   void onReply(const sql::Reply &reply);
   void onLost();
-  void onError(const sql::Reply &reply);
+  void onError(const sql::Reply &reply, bool fromServer);
   void onSuccess(sql::Reply reply);
   /// Gives the connection back and places the statement again, or ends with
   /// \p code when there is no time or no try left.
-  void retryElsewhere(sql::ErrorCode code, std::string_view reason);
+  void retryElsewhere(sql::ErrorCode code, RetryCause cause);
   void onDeadline();
   void onSlowReply();
   void releaseLink();
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -6,8 +6,9 @@
 namespace baobabpin::pooling {
 namespace {
 
-/// A dropped reply that does not come within this time never comes.
-constexpr std::chrono::milliseconds AbandonedLimit{3000};
+/// A reply that nobody waits for and that is not there by then is lost. Servers
+/// work on a statement for 110 ms at most, on a slow day five times as long.
+constexpr std::chrono::milliseconds AbandonedLimit{1000};
 /// Weight of a new latency in the moving average: one part in this many.
 constexpr int LatencyWeight = 8;
 
--- a/baobabpin/relay/Messages.cpp
+++ b/baobabpin/relay/Messages.cpp
@@ -195,6 +195,7 @@
   json body{{"seq", it.Sequence},
             {"leaving", it.Leaving},
             {"result", toJson(it.Result)},
+            {"refused", it.RefusedByOwner},
             {"tx", it.Transaction},
             {"epoch", it.Epoch},
             {"primary", it.OnPrimary}};
@@ -231,6 +232,7 @@
     it.Sequence = body.at("seq").get<std::uint64_t>();
     it.Leaving = body.at("leaving").get<bool>();
     it.Result = resultFrom(body.at("result"));
+    it.RefusedByOwner = body.at("refused").get<bool>();
     it.Transaction = body.at("tx").get<std::uint64_t>();
     it.Epoch = body.at("epoch").get<std::uint64_t>();
     it.OnPrimary = body.at("primary").get<bool>();
--- a/baobabpin/relay/Messages.h
+++ b/baobabpin/relay/Messages.h
@@ -56,6 +56,8 @@
   /// The owner is about to stop; new work should go elsewhere.
   bool Leaving = false;
   sql::Reply Result;
+  /// The error of Result is the owner's own, not the server's.
+  bool RefusedByOwner = false;
   std::uint64_t Transaction = 0;
   /// Set when the server was the usable primary.
   std::uint64_t Epoch = 0;
