--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -24,6 +24,11 @@
 constexpr milliseconds UnreadyViewAge{1300};
 /// After this the platform has stopped sending new connections here.
 constexpr milliseconds UnreadyLimit{2200};
+/// A client that was idle for this long is unlikely to send a request at the
+/// moment in which it is asked to leave.
+constexpr milliseconds DismissAfterIdle{250};
+/// New sessions are refused this long before the node has to end.
+constexpr milliseconds RefusalTime{1400};
 /// Left for the process to end before it is killed.
 constexpr milliseconds StopMargin{600};
 
@@ -91,8 +96,9 @@
     auto session = std::make_shared<Session>(*Context, fd);
     Sessions.emplace(session.get(), session);
     session->start();
-    if (Draining && base::BootClock::now() - DrainStarted > NewConnectionsEnd)
-      session->drain();
+    auto now = base::BootClock::now();
+    if (Draining && now - DrainStarted > Settings.StopGrace - RefusalTime)
+      session->refuseOpening();
   }));
   Ticker = loop.runEvery(TickPeriod, [this] { tick(); });
   Sweeper = loop.runEvery(SweepPeriod, [this] {
@@ -166,14 +172,13 @@
   // Clients that stay would be refused; elsewhere they may be served.
   if (Draining || now - ReadyUntil < UnreadyLimit)
     return;
-  ReadyUntil = now;
-  Log.line("sessions_dismissed")
-      .add("reason", "not_ready")
-      .add("sessions", static_cast<std::int64_t>(Sessions.size()))
-      .add("view_age_ms", Cluster->viewAge());
-  auto sessions = Sessions;
-  for (const auto &[raw, it] : sessions)
-    it->drain();
+  dismissIdle(DismissAfterIdle);
+}
+
+void FrontendService::dismissIdle(std::chrono::nanoseconds idle) {
+  auto now = base::BootClock::now();
+  for (const auto &[raw, it] : Sessions)
+    it->dismissIfIdle(now, idle);
 }
 
 bool FrontendService::isReady() const {
@@ -312,10 +317,10 @@
     for (const auto &[raw, it] : sessions)
       it->abortTransaction("node stops");
   }
-  if (elapsed >= NewConnectionsEnd) {
-    for (const auto &[raw, it] : sessions)
-      it->drain();
-  }
+  if (elapsed >= NewConnectionsEnd)
+    dismissIdle(elapsed < Settings.StopGrace - RefusalTime
+                    ? std::chrono::nanoseconds(DismissAfterIdle)
+                    : std::chrono::nanoseconds(0));
   bool over = elapsed >= Settings.StopGrace - StopMargin;
   bool empty = Sessions.empty() && Relay->openTransactions() == 0 &&
                elapsed >= NewConnectionsEnd;
--- a/baobabpin/frontend/FrontendService.h
+++ b/baobabpin/frontend/FrontendService.h
@@ -36,6 +36,8 @@
   void onClusterChanged();
   void tick();
   void drainTick();
+  /// Asks clients that were idle for \p idle to leave.
+  void dismissIdle(std::chrono::nanoseconds idle);
   bool isReady() const;
   void query(const base::ServerId &id, const std::string &line,
              std::chrono::milliseconds timeout,
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -38,8 +38,9 @@
 }
 
 void Session::onLine(std::string_view line) {
+  LastActive = base::BootClock::now();
   if (Dismissed) {
-    refuseAfterNotice(line);
+    answerCrossing(line);
     return;
   }
   if (Pending.size() >= MaxPending ||
@@ -52,15 +53,13 @@
   processNext();
 }
 
-void Session::refuseAfterNotice(std::string_view line) {
+void Session::answerCrossing(std::string_view line) {
   if (!line.starts_with("QUERY "))
     return;
-  // A first request crossed the notice, and the client takes the notice as the
-  // beginning of its reply. A client whose request crossed it does not leave.
-  if (std::exchange(NoticeAnswered, true))
-    replyError(ErrorCode::Busy, "node stops");
-  else
-    Connection->send(platform::formatReady(TransactionState::Idle));
+  // The request crossed the notice, which the client takes as the beginning of
+  // its reply. It goes on using the session, so the session goes on.
+  Dismissed = false;
+  Connection->send(platform::formatReady(TransactionState::Idle));
 }
 
 void Session::processNext() {
@@ -85,8 +84,6 @@
       return;
     }
   }
-  if (!Ended && Opened && !Run && Pending.empty())
-    maybeDrain();
 }
 
 void Session::onOpen(const platform::OpenSession &open) {
@@ -108,7 +105,7 @@
     });
     return;
   }
-  if (Draining) {
+  if (Refusing) {
     refuseOpen(ErrorCode::Busy, "node_stops");
     return;
   }
@@ -322,6 +319,7 @@
                         base::BootTime arrived, RunResult result) {
   Run.reset();
   auto now = base::BootClock::now();
+  LastActive = now;
   Context.OnStatement(route, result.Reply, now - arrived);
   if (writes && result.Reply.succeeded() && result.Reply.Position) {
     OwnCommit = result.Reply.Position;
@@ -376,16 +374,10 @@
   Transaction->PendingAbort = reason;
 }
 
-void Session::drain() {
-  Draining = true;
-  // A client that has not named its database yet is refused when it does.
-  if (Opened)
-    maybeDrain();
-}
-
-void Session::maybeDrain() {
-  if (!Draining || Dismissed || Ended || Run || Transaction ||
-      !Pending.empty())
+void Session::dismissIfIdle(base::BootTime now,
+                            std::chrono::nanoseconds idle) {
+  bool between = Opened && !Run && !Transaction && Pending.empty();
+  if (!between || Dismissed || Ended || now - LastActive < idle)
     return;
   // An error outside of any request makes the client close the session. Should
   // it cross a request, it is a true reply to it: the request is not run.
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -41,8 +41,11 @@
 
   /// Ends transactions that are idle for too long.
   void sweep(base::BootTime now);
-  /// From now on the session ends when it is between two operations.
-  void drain();
+  /// Asks the client to leave if it has been idle for \p idle, between two
+  /// operations.
+  void dismissIfIdle(base::BootTime now, std::chrono::nanoseconds idle);
+  /// The session is refused when it names its database.
+  void refuseOpening() { Refusing = true; }
   /// Ends an open transaction with an error that promises no effect.
   void abortTransaction(std::string_view reason);
   /// Answers an outstanding request and closes.
@@ -83,9 +86,8 @@
   void reply(const sql::Reply &it);
   void replyDone();
   void replyError(sql::ErrorCode code, std::string_view text);
-  void maybeDrain();
-  /// Answers a request that came after the notice to leave; it is not run.
-  void refuseAfterNotice(std::string_view line);
+  /// Completes the reply to a request that crossed the notice to leave.
+  void answerCrossing(std::string_view line);
   void end();
 
   SessionContext &Context;
@@ -93,11 +95,10 @@
   std::shared_ptr<net::LineConnection> Connection;
   std::string Database;
   bool Opened = false;
-  bool Draining = false;
-  /// The client was told to leave; nothing runs any more.
+  bool Refusing = false;
+  /// The client was asked to leave; its next message is not run.
   bool Dismissed = false;
-  /// A request has met the notice to leave.
-  bool NoticeAnswered = false;
+  base::BootTime LastActive{};
   bool Ended = false;
   std::deque<std::string> Pending;
   std::map<std::string, std::string> Values;
