--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -68,7 +68,7 @@
   bool needed = question.Own.Leaving || question.TakeOver;
   if (!needed && isVouchedFor(question))
     return MoveVerdict::Stay;
-  bool lonely = 2 * question.Peers.size() < question.RegisteredPeers;
+  bool lonely = 2 * question.Peers.size() < question.PeersAsked;
   bool waited = question.Own.HeardAge.value_or(LonelyAfter) >= LonelyAfter;
   if (lonely && !needed && !waited)
     return MoveVerdict::NotSure;
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -52,7 +52,8 @@
   PrimaryObservation Own;
   /// Replies of the peers that could be reached.
   std::vector<PeerEvidence> Peers;
-  std::size_t RegisteredPeers = 0;
+  /// How many were asked.
+  std::size_t PeersAsked = 0;
   /// Present holder of the duty, by node name.
   std::string DutyHolder;
   /// The group is already being moved, by a node that seems stuck.
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -29,6 +29,13 @@
 /// A change whose reply was lost may take effect this much later.
 constexpr milliseconds LateChangeLimit{6500};
 constexpr milliseconds StoreReachableAge{2000};
+/// Up to this many nodes, each asks all others.
+constexpr std::size_t FullMeshLimit = 16;
+/// In a larger fleet, a node asks this many at a time.
+constexpr std::size_t SampleSize = 6;
+/// In a larger fleet, so many nodes confirm the view by asking all others; the
+/// rest learns from them.
+constexpr std::size_t ConfirmingNodes = 2;
 
 } // namespace
 
@@ -46,6 +53,7 @@
   auto ms = std::chrono::duration_cast<milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   Self = {Settings.Node, static_cast<std::uint64_t>(ms.count())};
+  Random.seed(std::random_device{}());
 }
 
 ClusterService::~ClusterService() = default;
@@ -141,6 +149,23 @@
   return list;
 }
 
+std::vector<PeerNode> ClusterService::somePeers() {
+  auto all = peers();
+  if (all.size() < FullMeshLimit)
+    return all;
+  std::vector<PeerNode> some;
+  std::ranges::sample(all, std::back_inserter(some), SampleSize, Random);
+  return some;
+}
+
+bool ClusterService::mayAskAll() const {
+  if (View.Nodes.size() <= FullMeshLimit)
+    return true;
+  auto end = std::next(View.Nodes.begin(), ConfirmingNodes);
+  return std::any_of(View.Nodes.begin(), end,
+                     [&](const auto &it) { return it.first == Self.Node; });
+}
+
 void ClusterService::onOwnRecords(const std::vector<store::StoreEntry> &entries,
                                   std::uint64_t revision,
                                   base::BootTime sentAt) {
@@ -360,12 +385,14 @@
     ConfigReader->read();
 }
 
-std::vector<PeerNode> ClusterService::syncTargets(bool everyone) const {
+std::vector<PeerNode> ClusterService::syncTargets(bool everyone) {
   auto targets = peers();
   if (!everyone) {
     std::erase_if(targets, [reader = readerNode()](const PeerNode &it) {
       return it.Name != reader;
     });
+  } else if (!mayAskAll()) {
+    targets = somePeers();
   }
   if (!targets.empty())
     return targets;
@@ -384,7 +411,8 @@
   auto round = std::make_shared<SyncRound>();
   round->SentAt = base::BootClock::now();
   round->Outstanding = targets.size();
-  round->AllConfirm = everyone && !View.Nodes.empty();
+  round->AllConfirm =
+      everyone && !View.Nodes.empty() && targets.size() == peers().size();
   if (everyone) {
     LastSync = round->SentAt;
     PositionsWanted = false;
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,10 @@
   bool isStoreReachable() const;
   /// Registered nodes but this one.
   std::vector<PeerNode> peers() const;
+  /// As peers(), but in a large fleet a random few: what one node asks all
+  /// others in the same moment as all nodes do grows with the square of their
+  /// number.
+  std::vector<PeerNode> somePeers();
 
   /// Changes records; the outcome of a lost reply is Unknown. The view is read
   /// again afterwards.
@@ -119,7 +124,9 @@
   std::string readerNode() const;
   void readStore(base::BootTime now, bool asReader);
   void syncWith(const std::vector<PeerNode> &targets, bool everyone);
-  std::vector<PeerNode> syncTargets(bool everyone) const;
+  std::vector<PeerNode> syncTargets(bool everyone);
+  /// Whether this node may confirm the view by asking all peers.
+  bool mayAskAll() const;
   void onSyncReply(const std::shared_ptr<SyncRound> &round,
                    const std::string &peer,
                    const std::optional<std::string> &body);
@@ -162,6 +169,7 @@
   /// Until then a change whose reply was lost may still take effect.
   base::BootTime UncertainUntil{};
   kernel::Timer Ticker;
+  std::minstd_rand Random;
 };
 
 } // namespace baobabpin::control
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -13,6 +13,8 @@
 
 constexpr milliseconds TickPeriod{50};
 constexpr milliseconds PollPeriod{200};
+/// A node that has just started has no connections of its own yet.
+constexpr milliseconds SettlingTime{3000};
 constexpr milliseconds EvidenceTimeout{150};
 constexpr milliseconds RevokeTimeout{500};
 constexpr milliseconds RevokeRetry{100};
@@ -73,6 +75,7 @@
 base::Result<void> FailoverService::start(kernel::Kernel &kernel) {
   Kernel = &kernel;
   Cluster = &kernel.find<ClusterService>("cluster");
+  StartedAt = base::BootClock::now();
   Promotions = std::make_unique<platform::Promotions>(kernel.loop(),
                                                       PromotionsEndpoint);
   Ticker = kernel.loop().runEvery(TickPeriod, [this] { tick(); });
@@ -132,9 +135,10 @@
     startMove(group);
     return;
   }
+  bool settled = now - StartedAt > SettlingTime;
   bool takeOver = record.Moving && now - watch.RecordSeen > cluster::StuckAfter;
   bool suspect =
-      !record.Moving && cluster::isSuspect(Access.Observe(group));
+      settled && !record.Moving && cluster::isSuspect(Access.Observe(group));
   bool due = takeOver || suspect || (watch.Asked && !record.Moving);
   if (!due || watch.Polling || now < watch.NextPoll)
     return;
@@ -162,8 +166,8 @@
   auto question = std::make_shared<cluster::MoveQuestion>();
   question->Self = Cluster->self().Node;
   question->TakeOver = takeOver;
-  auto peers = Cluster->peers();
-  question->RegisteredPeers = peers.size();
+  auto peers = Cluster->somePeers();
+  question->PeersAsked = peers.size();
   auto outstanding = std::make_shared<std::size_t>(peers.size());
   EvidenceRequest request{
       group, takeOver || cluster::isSuspect(Access.Observe(group))};
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -51,6 +51,7 @@
   using MovePtr = std::shared_ptr<Move>;
   struct GroupWatch {
     base::BootTime NextPoll{};
+    /// A peer suspects the primary.
     bool Asked = false;
     bool Polling = false;
     /// When the present record was first seen.
@@ -95,6 +96,7 @@
   std::string Successor;
   int SuccessorMisses = 0;
   bool Writing = false;
+  base::BootTime StartedAt{};
   kernel::Timer Ticker;
   kernel::Timer SuccessorTicker;
 };
