--- a/baobabpin/base/BootClock.h
+++ b/baobabpin/base/BootClock.h
@@ -15,7 +15,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
+  // The standard names the members of a clock.
+  static constexpr bool is_steady = true; // NOLINT
 
   static time_point now() noexcept {
     timespec ts{};
--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -12,12 +12,8 @@
 using nlohmann::json;
 
 json toJson(const GroupRecord &it) {
-  return {{"epoch", it.Epoch},
-          {"primary", it.Primary},
-          {"term", it.Term},
-          {"moving", it.Moving},
-          {"mover", it.Mover},
-          {"token", it.Token}};
+  return {{"epoch", it.Epoch},   {"primary", it.Primary}, {"term", it.Term},
+          {"moving", it.Moving}, {"mover", it.Mover},     {"token", it.Token}};
 }
 
 json toJson(const NodeRecord &it) {
@@ -82,7 +78,8 @@
     return;
   }
   if (key == DutyKeyPart && entry.Revision > view.Duty.Revision)
-    view.Duty = {entry.Deleted ? DutyRecord{} : dutyFrom(json::parse(entry.Value)),
+    view.Duty = {entry.Deleted ? DutyRecord{}
+                               : dutyFrom(json::parse(entry.Value)),
                  entry.Deleted ? 0 : entry.Revision};
 }
 
--- /dev/null
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -0,0 +1,105 @@
+#include "baobabpin/cluster/ClusterView.h"
+
+#include <doctest/doctest.h>
+
+namespace baobabpin::cluster {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::BootTime Start{1000s};
+
+store::StoreEntry entry(const std::string &key, const std::string &value,
+                        std::uint64_t revision) {
+  return {.Key = "bp/" + key, .Value = value, .Revision = revision};
+}
+
+/// A view with one group and this node, confirmed at Start.
+ClusterView makeView(const NodeIdentity &self) {
+  ClusterView view;
+  GroupRecord group{.Epoch = 3, .Primary = "s1", .Term = 7};
+  NodeRecord node{.Incarnation = self.Incarnation,
+                  .Peer = {"10.0.0.1", 70},
+                  .Relay = {"10.0.0.1", 71},
+                  .Zone = "a"};
+  CHECK(applyEntry(view, "bp/", entry("group/g", encodeRecord(group), 4)));
+  CHECK(applyEntry(view, "bp/", entry("node/n1", encodeRecord(node), 5)));
+  view.Revision = 6;
+  view.ValidatedAt = Start;
+  return view;
+}
+
+TEST_CASE("the right to use a primary") {
+  NodeIdentity self{"n1", 11};
+  ClusterView view = makeView(self);
+  auto use = [&](std::uint64_t revoked, std::chrono::nanoseconds age) {
+    return checkPrimaryUse(view, self, "g", revoked, Start + age);
+  };
+  CHECK(use(0, 0ms) == PrimaryUse::Allowed);
+
+  SUBCASE("ends with the lease, so that a suspended node stops") {
+    CHECK(use(0, PrimaryLease - 1ms) == PrimaryUse::Allowed);
+    CHECK(use(0, PrimaryLease) == PrimaryUse::LeaseExpired);
+  }
+  SUBCASE("ends with this node's own promise") {
+    CHECK(use(3, 0ms) == PrimaryUse::Moving);
+    CHECK(use(2, 0ms) == PrimaryUse::Allowed);
+  }
+  SUBCASE("ends when a move is announced") {
+    view.Groups["g"].Value.Moving = true;
+    CHECK(use(0, 0ms) == PrimaryUse::Moving);
+  }
+  SUBCASE("needs a registration that movers wait for") {
+    view.Nodes["n1"].Value.Retired = true;
+    CHECK(use(0, 0ms) == PrimaryUse::Unregistered);
+    view.Nodes["n1"].Value = {.Incarnation = 12};
+    CHECK(use(0, 0ms) == PrimaryUse::Unregistered);
+    view.Nodes.clear();
+    CHECK(use(0, 0ms) == PrimaryUse::Unregistered);
+  }
+  SUBCASE("is not given for a group without a record") {
+    CHECK(checkPrimaryUse(view, self, "other", 0, Start) ==
+          PrimaryUse::UnknownGroup);
+  }
+}
+
+TEST_CASE("a view never goes back") {
+  ClusterView view = makeView({"n1", 11});
+  SUBCASE("an older entry is ignored") {
+    GroupRecord old{.Epoch = 1, .Primary = "s0"};
+    applyEntry(view, "bp/", entry("group/g", encodeRecord(old), 3));
+    CHECK(view.Groups["g"].Value.Primary == "s1");
+  }
+  SUBCASE("an older view is ignored, with its time of validation") {
+    ClusterView old;
+    old.Revision = 5;
+    old.ValidatedAt = Start + 1s;
+    CHECK_FALSE(mergeView(view, old));
+    CHECK(view.Groups.contains("g"));
+    CHECK(view.ValidatedAt == Start);
+  }
+  SUBCASE("a newer view without a confirmation keeps the older time") {
+    ClusterView pushed = decodeView(encodeView(view));
+    pushed.Revision = 9;
+    CHECK(mergeView(view, pushed));
+    CHECK(view.ValidatedAt == Start);
+  }
+  SUBCASE("an entry that cannot be read leaves the rest") {
+    CHECK_FALSE(applyEntry(view, "bp/", entry("group/g", "{broken", 9)));
+    CHECK(view.Groups["g"].Value.Primary == "s1");
+  }
+}
+
+TEST_CASE("a view travels whole") {
+  ClusterView view = makeView({"n1", 11});
+  view.Duty = {{"n1", 8}, 5};
+  ClusterView copy = decodeView(encodeView(view));
+  CHECK(copy.Revision == view.Revision);
+  CHECK(digestOf(copy) == digestOf(view));
+  CHECK(copy.Groups["g"].Value == view.Groups["g"].Value);
+  CHECK(copy.Nodes["n1"].Value == view.Nodes["n1"].Value);
+  CHECK(decodeView("no view").Revision == 0);
+}
+
+} // namespace
+} // namespace baobabpin::cluster
--- a/baobabpin/cluster/ConnectionPlan.cpp
+++ b/baobabpin/cluster/ConnectionPlan.cpp
@@ -14,6 +14,7 @@
 std::vector<std::string> rankOwners(const ServerRegistration &server,
                                     const std::vector<NodePlace> &nodes) {
   std::vector<std::tuple<bool, std::uint64_t, std::string>> ranked;
+  ranked.reserve(nodes.size());
   for (const auto &it : nodes)
     ranked.emplace_back(it.Zone != server.Zone,
                         base::hash64(server.Id + "|" + it.Name), it.Name);
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -61,10 +61,10 @@
 };
 
 enum class MoveVerdict {
-  Stay,     ///< The primary is fine, or another node already moves the group.
-  LeaveIt,  ///< A move is needed; another node is to do it.
-  MoveNow,  ///< This node moves the group.
-  NotSure,  ///< Too few nodes in touch to tell; ask again.
+  Stay,    ///< The primary is fine, or another node already moves the group.
+  LeaveIt, ///< A move is needed; another node is to do it.
+  MoveNow, ///< This node moves the group.
+  NotSure, ///< Too few nodes in touch to tell; ask again.
 };
 
 std::string_view moveVerdictName(MoveVerdict verdict);
--- /dev/null
+++ b/baobabpin/cluster/PlacementTest.cpp
@@ -0,0 +1,92 @@
+#include "baobabpin/cluster/ConnectionPlan.h"
+#include "baobabpin/cluster/ReplicaChoice.h"
+
+#include <doctest/doctest.h>
+
+namespace baobabpin::cluster {
+namespace {
+
+using namespace std::chrono_literals;
+
+ReadCandidate replica() {
+  ReadCandidate it;
+  it.SameZone = true;
+  it.Covers = true;
+  it.SinceLagging = 10s;
+  it.Latency = 10ms;
+  it.Connections = 1;
+  return it;
+}
+
+TEST_CASE("the server of a read") {
+  SUBCASE("is in the node's own zone when all else is equal") {
+    ReadCandidate other = replica();
+    other.SameZone = false;
+    CHECK(chooseRead({other, replica()}) == 1u);
+  }
+  SUBCASE("is another one when the near one has a queue") {
+    ReadCandidate busy = replica();
+    busy.Load = 3;
+    ReadCandidate other = replica();
+    other.SameZone = false;
+    CHECK(chooseRead({busy, other}) == 1u);
+  }
+  SUBCASE("is the primary only when replicas are far worse") {
+    ReadCandidate primary = replica();
+    primary.Primary = true;
+    ReadCandidate slow = replica();
+    slow.Latency = 40ms;
+    CHECK(chooseRead({primary, slow}) == 1u);
+    slow.Latency = 60ms;
+    CHECK(chooseRead({primary, slow}) == 0u);
+  }
+  SUBCASE("is not one that lagged a moment ago") {
+    ReadCandidate lagging = replica();
+    lagging.Covers = false;
+    lagging.SinceLagging = 20ms;
+    ReadCandidate far = replica();
+    far.SameZone = false;
+    CHECK(chooseRead({lagging, far}) == 1u);
+    lagging.Covers = true;
+    CHECK(chooseRead({lagging, far}) == 0u);
+  }
+  SUBCASE("is none when no server can be reached") {
+    ReadCandidate dead = replica();
+    dead.Unreachable = true;
+    CHECK_FALSE(chooseRead({dead}).has_value());
+  }
+}
+
+TEST_CASE("the owner of a server's connections") {
+  ServerRegistration server{.Id = "s1", .Group = "g", .Zone = "b"};
+  std::vector<NodePlace> nodes{{"n1", "a"}, {"n2", "b"}, {"n3", "b"}};
+
+  SUBCASE("is in the server's zone") {
+    auto owners = rankOwners(server, nodes);
+    REQUIRE(owners.size() == OwnerCandidates);
+    CHECK(owners[0] != "n1");
+    CHECK(owners[1] != "n1");
+  }
+  SUBCASE("is the same for every order of the list") {
+    auto owners = rankOwners(server, nodes);
+    std::swap(nodes[0], nodes[2]);
+    CHECK(rankOwners(server, nodes) == owners);
+  }
+  SUBCASE("stays when another node leaves") {
+    auto owners = rankOwners(server, nodes);
+    std::erase_if(nodes,
+                  [&](const NodePlace &it) { return it.Name != owners[0]; });
+    CHECK(rankOwners(server, nodes).front() == owners[0]);
+  }
+  SUBCASE("is in another zone when the server's has no node") {
+    CHECK(rankOwners(server, {{"n1", "a"}}).front() == "n1");
+  }
+  SUBCASE("is needed only where connections are few") {
+    CHECK_FALSE(isDirect(16, 9));
+    CHECK(isDirect(34, 9));
+    CHECK_FALSE(isDirect(130, 91));
+  }
+}
+
+} // namespace
+} // namespace baobabpin::cluster
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -241,7 +241,8 @@
         .add("group", it.Group)
         .add("address", http::formatEndpoint(it.Address))
         .add("zone", it.Zone)
-        .add("role", it.Role == sql::ServerRole::Primary ? "primary" : "replica")
+        .add("role",
+             it.Role == sql::ServerRole::Primary ? "primary" : "replica")
         .add("state", it.Draining ? "draining" : "ready");
   }
   for (const auto &[id, it] : Servers) {
@@ -327,7 +328,7 @@
 }
 
 void ClusterService::change(const std::vector<platform::KeyChange> &changes,
-                            store::StoreCallback callback) {
+                            const store::StoreCallback &callback) {
   ++ChangesPending;
   Store->change(changes, [this, callback](const store::StoreReply &reply) {
     --ChangesPending;
@@ -338,8 +339,7 @@
   });
 }
 
-void ClusterService::revoke(const base::GroupName &group,
-                            std::uint64_t epoch) {
+void ClusterService::revoke(const base::GroupName &group, std::uint64_t epoch) {
   auto &revoked = RevokedEpochs[group];
   if (epoch <= revoked)
     return;
@@ -418,9 +418,12 @@
     PositionsWanted = false;
   }
   SyncRunning = true;
-  std::string body =
-      encode(SyncRequest{Self.Node, View.Revision, ViewDigest, ServersDigest,
-                         Config ? Config->Version : 0, {}});
+  std::string body = encode(SyncRequest{Self.Node,
+                                        View.Revision,
+                                        ViewDigest,
+                                        ServersDigest,
+                                        Config ? Config->Version : 0,
+                                        {}});
   for (const auto &it : targets) {
     Caller->call(it.Endpoint, SyncPath, body, SyncTimeout,
                  [this, round, peer = it.Name](const auto &reply) {
@@ -475,26 +478,24 @@
 }
 
 void ClusterService::pushView() {
-  std::string body =
-      encode(SyncRequest{Self.Node, View.Revision, ViewDigest, ServersDigest,
-                         Config ? Config->Version : 0,
-                         cluster::encodeView(View)});
+  std::string body = encode(
+      SyncRequest{Self.Node, View.Revision, ViewDigest, ServersDigest,
+                  Config ? Config->Version : 0, cluster::encodeView(View)});
   for (const auto &it : peers())
-    Caller->call(it.Endpoint, SyncPath, body, SyncTimeout,
-                 [](const auto &) {});
+    Caller->call(it.Endpoint, SyncPath, body, SyncTimeout, [](const auto &) {});
 }
 
 void ClusterService::servePeers() {
-  PeerServer->handle(SyncPath, [this](http::HttpRequest request,
-                                      http::ResponderPtr responder) {
+  PeerServer->handle(SyncPath, [this](const http::HttpRequest &request,
+                                      const http::ResponderPtr &responder) {
     onSync(request.Body, responder);
   });
-  PeerServer->handle(RevokePath, [this](http::HttpRequest request,
-                                        http::ResponderPtr responder) {
+  PeerServer->handle(RevokePath, [this](const http::HttpRequest &request,
+                                        const http::ResponderPtr &responder) {
     onRevoke(request.Body, responder);
   });
-  PeerServer->handle(EvidencePath, [this](http::HttpRequest request,
-                                          http::ResponderPtr responder) {
+  PeerServer->handle(EvidencePath, [this](const http::HttpRequest &request,
+                                          const http::ResponderPtr &responder) {
     onEvidence(request.Body, responder);
   });
 }
@@ -525,8 +526,7 @@
     reply.Servers = LastServers;
   if (Config && Config->Version > request->ConfigVersion)
     reply.Config = ConfigDocument;
-  reply.ChangePending =
-      ChangesPending > 0 || now < UncertainUntil;
+  reply.ChangePending = ChangesPending > 0 || now < UncertainUntil;
   if (Hooks.Positions)
     reply.Positions = Hooks.Positions();
   responder->json(200, encode(reply));
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -90,7 +90,7 @@
   /// Changes records; the outcome of a lost reply is Unknown. The view is read
   /// again afterwards.
   void change(const std::vector<platform::KeyChange> &changes,
-              store::StoreCallback callback);
+              const store::StoreCallback &callback);
   /// Stops this node from using the primaries of the group up to \p epoch.
   void revoke(const base::GroupName &group, std::uint64_t epoch);
   /// Sends this node's view to all peers.
@@ -115,8 +115,7 @@
                     base::BootTime confirmedAt);
   void onConfiguration(const std::vector<store::StoreEntry> &entries,
                        base::BootTime sentAt);
-  bool adoptConfiguration(const std::string &document,
-                          std::string_view source);
+  bool adoptConfiguration(const std::string &document, std::string_view source);
   void adoptView(cluster::ClusterView view, std::string_view source);
   void ensureRegistered();
   void tick();
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -27,7 +27,8 @@
 constexpr milliseconds CatchUpLimit{400};
 /// A token may be used only while the store has confirmed it this recently;
 /// a takeover waits longer than this.
-constexpr milliseconds TokenFreshness = cluster::PrimaryLease - milliseconds(500);
+constexpr milliseconds TokenFreshness =
+    cluster::PrimaryLease - milliseconds(500);
 constexpr milliseconds SuccessorPeriod{2000};
 constexpr milliseconds SuccessorTimeout{800};
 constexpr int SuccessorMissLimit = 3;
@@ -76,8 +77,8 @@
   Kernel = &kernel;
   Cluster = &kernel.find<ClusterService>("cluster");
   StartedAt = base::BootClock::now();
-  Promotions = std::make_unique<platform::Promotions>(kernel.loop(),
-                                                      PromotionsEndpoint);
+  Promotions =
+      std::make_unique<platform::Promotions>(kernel.loop(), PromotionsEndpoint);
   Ticker = kernel.loop().runEvery(TickPeriod, [this] { tick(); });
   SuccessorTicker =
       kernel.loop().runEvery(SuccessorPeriod, [this] { checkSuccessor(); });
@@ -156,8 +157,9 @@
       continue;
     Writing = true;
     cluster::GroupRecord record{.Epoch = 1, .Primary = id};
-    Cluster->change({{groupKey(group), cluster::encodeRecord(record), 0, false}},
-                    [this](const store::StoreReply &) { Writing = false; });
+    Cluster->change(
+        {{groupKey(group), cluster::encodeRecord(record), 0, false}},
+        [this](const store::StoreReply &) { Writing = false; });
     return;
   }
 }
@@ -169,8 +171,8 @@
   auto peers = Cluster->somePeers();
   question->PeersAsked = peers.size();
   auto outstanding = std::make_shared<std::size_t>(peers.size());
-  EvidenceRequest request{
-      group, takeOver || cluster::isSuspect(Access.Observe(group))};
+  EvidenceRequest request{group, takeOver ||
+                                     cluster::isSuspect(Access.Observe(group))};
   Watches[group].Polling = true;
   if (peers.empty()) {
     onEvidence(group, *question);
@@ -181,8 +183,8 @@
                     node = peer.Name](const std::optional<std::string> &body) {
       auto reply = body ? decodeEvidenceReply(*body) : std::nullopt;
       if (reply)
-        question->Peers.push_back({node, reply->StoreReachable, reply->Moving,
-                                   reply->PrimaryHeard});
+        question->Peers.push_back(
+            {node, reply->StoreReachable, reply->Moving, reply->PrimaryHeard});
       if (--*outstanding == 0)
         onEvidence(group, *question);
     };
@@ -199,9 +201,10 @@
   question.SelfStoreReachable = Cluster->isStoreReachable();
   question.DutyHolder = Cluster->view().Duty.Value.Holder;
   cluster::MoveVerdict verdict = cluster::decideMove(question);
-  std::size_t vouching = std::ranges::count_if(question.Peers, [](const auto &it) {
-    return it.PrimaryHeard && *it.PrimaryHeard < cluster::VouchWithin;
-  });
+  std::size_t vouching =
+      std::ranges::count_if(question.Peers, [](const auto &it) {
+        return it.PrimaryHeard && *it.PrimaryHeard < cluster::VouchWithin;
+      });
   Log.line("primary_checked")
       .add("group", group)
       .add("verdict", cluster::moveVerdictName(verdict))
@@ -243,8 +246,7 @@
 
 bool FailoverService::isCurrent(const MovePtr &move) const {
   auto it = Cluster->view().Groups.find(move->Group);
-  return it != Cluster->view().Groups.end() &&
-         it->second.Value == move->Record;
+  return it != Cluster->view().Groups.end() && it->second.Value == move->Record;
 }
 
 void FailoverService::later(const MovePtr &move, milliseconds delay,
@@ -293,27 +295,27 @@
 }
 
 void FailoverService::revokePeer(const MovePtr &move, const PeerNode &peer) {
-  std::string body = encode(RevokeRequest{move->Group, move->Record.Epoch,
-                                          cluster::encodeView(Cluster->view())});
-  Cluster->caller().call(
-      peer.Endpoint, RevokePath, body, RevokeTimeout,
-      [this, weak = std::weak_ptr<Move>(move),
-       peer](const std::optional<std::string> &reply) {
-        MovePtr it = weak.lock();
-        if (!it)
-          return;
-        if (reply) {
-          it->Unacknowledged.erase(peer.Name);
-          return;
-        }
-        auto retry = std::make_shared<kernel::Timer>();
-        *retry = Kernel->loop().runAfter(RevokeRetry, [this, weak, peer, retry] {
-          MovePtr again = weak.lock();
-          if (again && isCurrent(again) &&
-              again->Unacknowledged.contains(peer.Name))
-            revokePeer(again, peer);
-        });
-      });
+  std::string body = encode(RevokeRequest{
+      move->Group, move->Record.Epoch, cluster::encodeView(Cluster->view())});
+  Cluster->caller().call(peer.Endpoint, RevokePath, body, RevokeTimeout,
+                         [this, weak = std::weak_ptr<Move>(move),
+                          peer](const std::optional<std::string> &reply) {
+                           MovePtr it = weak.lock();
+                           if (!it)
+                             return;
+                           if (reply) {
+                             it->Unacknowledged.erase(peer.Name);
+                             return;
+                           }
+                           auto retry = std::make_shared<kernel::Timer>();
+                           *retry = Kernel->loop().runAfter(
+                               RevokeRetry, [this, weak, peer, retry] {
+                                 MovePtr again = weak.lock();
+                                 if (again && isCurrent(again) &&
+                                     again->Unacknowledged.contains(peer.Name))
+                                   revokePeer(again, peer);
+                               });
+                         });
 }
 
 void FailoverService::waitForRevocation(const MovePtr &move) {
@@ -349,20 +351,18 @@
       queryCandidates(it);
       return;
     }
-    Access.Query(it->Record.Primary, platform::formatStepDown(status->Term + 1),
-                 StatusTimeout,
-                 [this, weak](const std::optional<sql::Reply> &stepped) {
-                   MovePtr moved = weak.lock();
-                   if (!moved || !isCurrent(moved))
-                     return;
-                   if (stepped && stepped->succeeded() &&
-                       !stepped->Rows.empty())
-                     moved->OldStatus =
-                         platform::parseStatusRow(stepped->Rows.front());
-                   logMove(moved, moved->OldStatus ? "stepped_down"
-                                                   : "step_down_unconfirmed");
-                   queryCandidates(moved);
-                 });
+    Access.Query(
+        it->Record.Primary, platform::formatStepDown(status->Term + 1),
+        StatusTimeout, [this, weak](const std::optional<sql::Reply> &stepped) {
+          MovePtr moved = weak.lock();
+          if (!moved || !isCurrent(moved))
+            return;
+          if (stepped && stepped->succeeded() && !stepped->Rows.empty())
+            moved->OldStatus = platform::parseStatusRow(stepped->Rows.front());
+          logMove(moved,
+                  moved->OldStatus ? "stepped_down" : "step_down_unconfirmed");
+          queryCandidates(moved);
+        });
   };
   Access.Query(move->Record.Primary, platform::formatStatusQuery(),
                StatusTimeout, onStatus);
@@ -385,23 +385,22 @@
     return;
   }
   for (const auto &id : ids) {
-    Access.Query(id, platform::formatStatusQuery(), StatusTimeout,
-                 [this, weak = std::weak_ptr<Move>(move),
-                  id](const std::optional<sql::Reply> &reply) {
-                   MovePtr it = weak.lock();
-                   if (!it || !isCurrent(it))
-                     return;
-                   auto status =
-                       reply && reply->succeeded() && !reply->Rows.empty()
-                           ? platform::parseStatusRow(reply->Rows.front())
-                           : std::nullopt;
-                   if (status)
-                     it->Candidates.push_back(
-                         {id, *status, Cluster->leavingSince(id).has_value(),
-                          false});
-                   if (--it->QueriesOutstanding == 0)
-                     choose(it);
-                 });
+    Access.Query(
+        id, platform::formatStatusQuery(), StatusTimeout,
+        [this, weak = std::weak_ptr<Move>(move),
+         id](const std::optional<sql::Reply> &reply) {
+          MovePtr it = weak.lock();
+          if (!it || !isCurrent(it))
+            return;
+          auto status = reply && reply->succeeded() && !reply->Rows.empty()
+                            ? platform::parseStatusRow(reply->Rows.front())
+                            : std::nullopt;
+          if (status)
+            it->Candidates.push_back(
+                {id, *status, Cluster->leavingSince(id).has_value(), false});
+          if (--it->QueriesOutstanding == 0)
+            choose(it);
+        });
   }
 }
 
@@ -415,8 +414,7 @@
   bool behind = move->OldStatus && !best->Present &&
                 best->Status.Role == sql::ServerRole::Replica &&
                 best->Status.Received < move->OldStatus->Received;
-  if (behind &&
-      base::BootClock::now() - move->ChoosingSince < CatchUpLimit) {
+  if (behind && base::BootClock::now() - move->ChoosingSince < CatchUpLimit) {
     later(move, milliseconds(15), &FailoverService::queryCandidates);
     return;
   }
@@ -426,9 +424,9 @@
       .add("server", best->Server)
       .add("received", platform::formatLogPosition(best->Status.Received))
       .add("candidates", static_cast<std::int64_t>(move->Candidates.size()))
-      .add("old_received",
-           move->OldStatus ? platform::formatLogPosition(move->OldStatus->Received)
-                           : "unknown");
+      .add("old_received", move->OldStatus ? platform::formatLogPosition(
+                                                 move->OldStatus->Received)
+                                           : "unknown");
   promote(move);
 }
 
@@ -440,7 +438,8 @@
   }
   Promotions->promote(
       move->Group, move->Target, Cluster->self().Node, move->Record.Token,
-      [this, weak = std::weak_ptr<Move>(move)](platform::PromotionResult result) {
+      [this,
+       weak = std::weak_ptr<Move>(move)](platform::PromotionResult result) {
         MovePtr it = weak.lock();
         if (!it || !isCurrent(it))
           return;
@@ -469,26 +468,25 @@
     stepDown(move);
     return;
   }
-  Access.Query(move->Target, platform::formatStatusQuery(), StatusTimeout,
-               [this, weak = std::weak_ptr<Move>(move)](
-                   const std::optional<sql::Reply> &reply) {
-                 MovePtr it = weak.lock();
-                 if (!it || !isCurrent(it))
-                   return;
-                 auto status =
-                     reply && reply->succeeded() && !reply->Rows.empty()
-                         ? platform::parseStatusRow(reply->Rows.front())
-                         : std::nullopt;
-                 bool present = it->Target == it->Record.Primary;
-                 if (status && cluster::isLeading(*status, it->Record.Term,
-                                                  present)) {
-                   logMove(it, "leads");
-                   it->NewTerm = status->Term;
-                   finish(it);
-                   return;
-                 }
-                 later(it, LeadPoll, &FailoverService::awaitLead);
-               });
+  Access.Query(
+      move->Target, platform::formatStatusQuery(), StatusTimeout,
+      [this, weak = std::weak_ptr<Move>(move)](
+          const std::optional<sql::Reply> &reply) {
+        MovePtr it = weak.lock();
+        if (!it || !isCurrent(it))
+          return;
+        auto status = reply && reply->succeeded() && !reply->Rows.empty()
+                          ? platform::parseStatusRow(reply->Rows.front())
+                          : std::nullopt;
+        bool present = it->Target == it->Record.Primary;
+        if (status && cluster::isLeading(*status, it->Record.Term, present)) {
+          logMove(it, "leads");
+          it->NewTerm = status->Term;
+          finish(it);
+          return;
+        }
+        later(it, LeadPoll, &FailoverService::awaitLead);
+      });
 }
 
 void FailoverService::finish(const MovePtr &move) {
@@ -547,14 +545,13 @@
   cluster::NodeRecord record = it->second.Value;
   record.Retired = true;
   SuccessorMisses = 0;
-  Cluster->change(
-      {{nodeKey(node), cluster::encodeRecord(record), it->second.Revision,
-        false}},
-      [this, node](const store::StoreReply &reply) {
-        Log.line("node_retired")
-            .add("node", node)
-            .add("result", store::storeStatusName(reply.Status));
-      });
+  Cluster->change({{nodeKey(node), cluster::encodeRecord(record),
+                    it->second.Revision, false}},
+                  [this, node](const store::StoreReply &reply) {
+                    Log.line("node_retired")
+                        .add("node", node)
+                        .add("result", store::storeStatusName(reply.Status));
+                  });
 }
 
 void FailoverService::removeRetired() {
@@ -567,8 +564,8 @@
     }
     auto [seen, added] = RetiredSeen.emplace(name, now);
     // The node's last right to use a primary ended PrimaryLease after the mark.
-    if (added || now - seen->second <
-                     cluster::PrimaryLease + cluster::LeaseMargin)
+    if (added ||
+        now - seen->second < cluster::PrimaryLease + cluster::LeaseMargin)
       continue;
     seen->second = now;
     Cluster->change({{nodeKey(name), {}, it.Revision, true}},
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -1,6 +1,6 @@
 /// Sees to it that every group has a primary: creates the records of new
-/// groups, moves groups whose primary is gone or leaving, and retires nodes that
-/// cannot be reached.
+/// groups, moves groups whose primary is gone or leaving, and retires nodes
+/// that cannot be reached.
 ///
 /// A move is driven by its record in the store, so that a lost reply, a restart
 /// or a takeover continues where the record says:
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -163,8 +163,7 @@
   });
 }
 
-std::optional<EvidenceRequest>
-decodeEvidenceRequest(const std::string &text) {
+std::optional<EvidenceRequest> decodeEvidenceRequest(const std::string &text) {
   return decode(text, [](const json &it) {
     return EvidenceRequest{it.at("group").get<std::string>(),
                            it.at("suspected").get<bool>()};
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -85,8 +85,7 @@
 std::string encode(const EvidenceReply &it);
 std::string encode(const EvidenceRequest &it);
 /// Identifies a set of registrations.
-std::uint64_t
-digestOf(const std::vector<cluster::ServerRegistration> &servers);
+std::uint64_t digestOf(const std::vector<cluster::ServerRegistration> &servers);
 std::optional<SyncRequest> decodeSyncRequest(const std::string &text);
 std::optional<SyncReply> decodeSyncReply(const std::string &text);
 std::optional<RevokeRequest> decodeRevokeRequest(const std::string &text);
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -74,20 +74,20 @@
       [this](Session *session) { forget(session); }});
   Cluster->subscribe([this] { onClusterChanged(); });
   Readiness = std::make_unique<http::HttpServer>(loop);
-  Readiness->handle(platform::ReadinessPath,
-                    [this](http::HttpRequest, http::ResponderPtr responder) {
-                      responder->json(isReady() ? 200 : 503, "{}");
-                    });
+  Readiness->handle(
+      platform::ReadinessPath,
+      [this](const http::HttpRequest &, const http::ResponderPtr &responder) {
+        responder->json(isReady() ? 200 : 503, "{}");
+      });
   BOOST_LEAF_CHECK(Readiness->listen(Settings.Readiness));
   Metrics = std::make_unique<http::HttpServer>(loop);
-  Metrics->handle("/metrics",
-                  [this](http::HttpRequest, http::ResponderPtr responder) {
-                    responder->respond(200, "text/plain; version=0.0.4",
-                                       Kernel->metrics().render());
-                  });
+  Metrics->handle("/metrics", [this](const http::HttpRequest &,
+                                     const http::ResponderPtr &responder) {
+    responder->respond(200, "text/plain; version=0.0.4",
+                       Kernel->metrics().render());
+  });
   BOOST_LEAF_CHECK(Metrics->listen(Settings.Metrics));
-  ServerOwners =
-      std::make_unique<Owners>(loop, Log, *Cluster, Settings.Zone);
+  ServerOwners = std::make_unique<Owners>(loop, Log, *Cluster, Settings.Zone);
   Relay = std::make_unique<RelayServer>(
       loop, Log, [this](const base::GroupName &name) { return group(name); });
   BOOST_LEAF_CHECK(Relay->listen(Settings.Relay));
@@ -147,8 +147,8 @@
   for (const auto &[name, it] : config->Groups) {
     auto &group = Groups[name];
     if (!group)
-      group = std::make_shared<GroupProxy>(
-          Kernel->loop(), *Cluster, *ServerOwners, name, Settings.Zone);
+      group = std::make_shared<GroupProxy>(Kernel->loop(), *Cluster,
+                                           *ServerOwners, name, Settings.Zone);
   }
   for (const auto &[name, it] : Groups)
     it->refresh();
@@ -285,14 +285,14 @@
   };
   waiter->OnGranted = [pool, line, finish,
                        deadline](const pooling::LinkPtr &link) {
-    link->run(line, 1,
-              [pool, link, finish,
-               deadline](const std::vector<sql::Reply> &replies) {
-                deadline->cancel();
-                pool->observe(link->sentAt(), replies.back());
-                pool->release(link);
-                finish(replies.back());
-              });
+    link->run(
+        line, 1,
+        [pool, link, finish, deadline](const std::vector<sql::Reply> &replies) {
+          deadline->cancel();
+          pool->observe(link->sentAt(), replies.back());
+          pool->release(link);
+          finish(replies.back());
+        });
   };
   pool->acquire(waiter);
 }
@@ -304,8 +304,8 @@
   Relay->setLeaving();
   OnDrained = std::move(done);
   DrainStarted = base::BootClock::now();
-  Log.line("draining").add("sessions",
-                           static_cast<std::int64_t>(Sessions.size()));
+  Log.line("draining")
+      .add("sessions", static_cast<std::int64_t>(Sessions.size()));
   DrainTicker =
       Kernel->loop().runEvery(DrainTickPeriod, [this] { drainTick(); });
 }
--- a/baobabpin/frontend/FrontendService.h
+++ b/baobabpin/frontend/FrontendService.h
@@ -1,4 +1,5 @@
-/// Accepts clients, answers readiness checks, serves metrics and stops in order.
+/// Accepts clients, answers readiness checks, serves metrics and stops in
+/// order.
 #pragma once
 
 #include "baobabpin/control/ClusterService.h"
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -56,8 +56,7 @@
     return it->openCount() == 0 && it.use_count() == 1;
   });
   auto choice = primary();
-  if (choice.Use == cluster::PrimaryUse::Allowed &&
-      choice.Epoch != LastEpoch) {
+  if (choice.Use == cluster::PrimaryUse::Allowed && choice.Epoch != LastEpoch) {
     LastEpoch = choice.Epoch;
     PrimarySince = base::BootClock::now();
     OwnerHeard = {};
@@ -175,8 +174,7 @@
     Cluster.wantPositions();
 }
 
-void GroupProxy::probePrimary(const PrimaryChoice &choice,
-                              base::BootTime now) {
+void GroupProxy::probePrimary(const PrimaryChoice &choice, base::BootTime now) {
   bool recent = History.Epoch == choice.Epoch && !History.Samples.empty() &&
                 now - History.Samples.back().SentAt < ProbePeriod;
   if (recent)
@@ -211,18 +209,17 @@
   request.Kind = relay::RequestKind::Probe;
   request.Group = Name;
   auto sentAt = base::BootClock::now();
-  channel->send(std::move(request),
-                [this, sentAt, epoch](const std::optional<relay::Reply> &it) {
-                  ProbeRunning = false;
-                  if (!it || it->Epoch != epoch)
-                    return;
-                  if (it->Position)
-                    cluster::recordSample(History, it->Epoch,
-                                          sentAt - it->PositionAge,
-                                          *it->Position);
-                  if (it->HeardAge)
-                    OwnerHeard = std::max(OwnerHeard, sentAt - *it->HeardAge);
-                });
+  channel->send(std::move(request), [this, sentAt, epoch](
+                                        const std::optional<relay::Reply> &it) {
+    ProbeRunning = false;
+    if (!it || it->Epoch != epoch)
+      return;
+    if (it->Position)
+      cluster::recordSample(History, it->Epoch, sentAt - it->PositionAge,
+                            *it->Position);
+    if (it->HeardAge)
+      OwnerHeard = std::max(OwnerHeard, sentAt - *it->HeardAge);
+  });
 }
 
 void GroupProxy::probeDirectly(const PrimaryChoice &choice,
@@ -245,8 +242,7 @@
 
 void GroupProxy::releaseClean(const PoolPtr &pool,
                               const pooling::LinkPtr &link) {
-  if (!link->isIdle() ||
-      link->transaction() == sql::TransactionState::Idle) {
+  if (!link->isIdle() || link->transaction() == sql::TransactionState::Idle) {
     pool->abandon(link);
     return;
   }
@@ -295,8 +291,8 @@
   if (!server)
     return it;
   it.Unreachable = server->condition().Unreachable;
-  auto heard = std::max(
-      {server->condition().LastHeard, PrimarySince, OwnerHeard});
+  auto heard =
+      std::max({server->condition().LastHeard, PrimarySince, OwnerHeard});
   if (heard != base::BootTime{})
     it.HeardAge = base::BootClock::now() - heard;
   return it;
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -2,8 +2,8 @@
 /// primary reported, and the work that waits for a primary.
 #pragma once
 
-#include "baobabpin/cluster/PositionHistory.h"
 #include "baobabpin/cluster/MoveDecision.h"
+#include "baobabpin/cluster/PositionHistory.h"
 #include "baobabpin/control/ClusterService.h"
 #include "baobabpin/frontend/Owners.h"
 #include "baobabpin/pooling/ServerPool.h"
@@ -78,8 +78,7 @@
 
 private:
   void probePrimary(const PrimaryChoice &choice, base::BootTime now);
-  void probeDirectly(const PrimaryChoice &choice,
-                     const pooling::LinkPtr &link);
+  void probeDirectly(const PrimaryChoice &choice, const pooling::LinkPtr &link);
   void probeThroughOwner(const ChannelPtr &channel, std::uint64_t epoch);
   pooling::ConnectionShare shareOf(const cluster::ServerRegistration &server);
   void resumeWaiting();
--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -130,8 +130,7 @@
       }
       run.Pinned = std::move(it->second.Pinned);
     }
-    auto onDone = [weak = weak_from_this(), group,
-                   request](RunResult result) {
+    auto onDone = [weak = weak_from_this(), group, request](RunResult result) {
       if (auto self = weak.lock())
         self->onDone(request, group, std::move(result));
       else if (result.Pinned.Link)
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -287,8 +287,8 @@
   request.FreshAsOf = Transaction ? Transaction->Began : request.Arrived;
   request.NeedsPrimary = current->Reads == cluster::Consistency::Strict ||
                          (Transaction ? !Transaction->ReadOnly : changes);
-  request.Writes = it.Kind == Verb::Commit ? Transaction->Wrote
-                                           : changes && !Transaction;
+  request.Writes =
+      it.Kind == Verb::Commit ? Transaction->Wrote : changes && !Transaction;
   if (current->Reads == cluster::Consistency::ReadYourWrites) {
     request.OwnCommit = OwnCommit;
     request.OwnEpoch = OwnEpoch;
@@ -374,8 +374,7 @@
   Transaction->PendingAbort = reason;
 }
 
-void Session::dismissIfIdle(base::BootTime now,
-                            std::chrono::nanoseconds idle) {
+void Session::dismissIfIdle(base::BootTime now, std::chrono::nanoseconds idle) {
   bool between = Opened && !Run && !Transaction && Pending.empty();
   if (!between || Dismissed || Ended || now - LastActive < idle)
     return;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -310,12 +310,12 @@
   Committing = Request.Writes;
   if (Committing)
     Group->beginCommit();
-  Link->run(platform::formatStatement(Request.Id, Request.Statement,
-                                      awaited ? WaitFor : std::nullopt),
-            1,
-            [self = shared_from_this()](const std::vector<sql::Reply> &replies) {
-              self->onReply(replies.back());
-            });
+  Link->run(
+      platform::formatStatement(Request.Id, Request.Statement,
+                                awaited ? WaitFor : std::nullopt),
+      1, [self = shared_from_this()](const std::vector<sql::Reply> &replies) {
+        self->onReply(replies.back());
+      });
   watchReply();
 }
 
@@ -332,8 +332,7 @@
   request.Reads = Request.Route.Reads;
   request.Priority = Request.Route.Priority;
   RelayedAt = base::BootClock::now();
-  request.TimeLeft =
-      std::chrono::floor<milliseconds>(Deadline - RelayedAt);
+  request.TimeLeft = std::chrono::floor<milliseconds>(Deadline - RelayedAt);
   request.Writes = Request.Writes;
   request.NeedsPrimary = Request.NeedsPrimary;
   request.Begin = Request.Begin;
@@ -377,8 +376,8 @@
   }
   RunResult result;
   result.Reply = std::move(reply->Result);
-  result.Pinned = {Pool, nullptr, nullptr, reply->Transaction, reply->Epoch,
-                   reply->OnPrimary};
+  result.Pinned = {Pool,         nullptr,         nullptr, reply->Transaction,
+                   reply->Epoch, reply->OnPrimary};
   if (reply->Transaction != 0)
     result.Pinned.Channel = channel;
   Request.Pinned = {};
@@ -440,9 +439,9 @@
 
 void StatementRun::onError(const sql::Reply &reply, bool fromServer) {
   bool notRun = sql::promisesNoEffect(*reply.Error);
-  bool mayRepeat = notRun || (!Request.Writes &&
-                              (*reply.Error == ErrorCode::Failed ||
-                               *reply.Error == ErrorCode::TimedOut));
+  bool mayRepeat =
+      notRun || (!Request.Writes && (*reply.Error == ErrorCode::Failed ||
+                                     *reply.Error == ErrorCode::TimedOut));
   if (!isPinned() && mayRepeat) {
     retryElsewhere(notRun ? *reply.Error : ErrorCode::Failed,
                    fromServer ? RetryCause::ServerRefused
@@ -501,8 +500,8 @@
       .add("reason", retryCauseName(cause))
       .add("try", Tries);
   Sent = false;
-  bool refused = cause == RetryCause::ServerRefused ||
-                 cause == RetryCause::SetupRefused;
+  bool refused =
+      cause == RetryCause::ServerRefused || cause == RetryCause::SetupRefused;
   bool mayWait = Request.NeedsPrimary && !refused;
   if ((Tries >= MaxTries && !mayWait) || Request.FixedServer) {
     finish(code, retryCauseName(cause));
@@ -577,8 +576,8 @@
       .add("epoch", static_cast<std::int64_t>(Epoch))
       .add("position", WaitFor ? platform::formatLogPosition(*WaitFor) : "none")
       .add("tries", Tries)
-      .add("waited_ms", (GrantedAt > Request.Arrived ? GrantedAt : now) -
-                            Request.Arrived)
+      .add("waited_ms",
+           (GrantedAt > Request.Arrived ? GrantedAt : now) - Request.Arrived)
       .add("took_ms", now - Request.Arrived);
   if (Link && Committing)
     waitForCommit();
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -7,8 +7,8 @@
 #pragma once
 
 #include "baobabpin/frontend/GroupProxy.h"
-#include "baobabpin/relay/Channel.h"
 #include "baobabpin/kernel/LineLog.h"
+#include "baobabpin/relay/Channel.h"
 
 #include <functional>
 #include <memory>
--- a/baobabpin/http/HttpServer.cpp
+++ b/baobabpin/http/HttpServer.cpp
@@ -116,15 +116,16 @@
 
 void HttpServer::State::dispatch(evhttp_request *request) {
   auto connection = connectionOf(request);
-  const char *path =
-      evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+  const auto *uri = evhttp_request_get_evhttp_uri(request);
+  const char *path = evhttp_uri_get_path(uri);
+  const char *query = evhttp_uri_get_query(uri);
   auto it = Handlers.find(path ? path : "");
   if (it == Handlers.end()) {
     evhttp_send_reply(request, 404, nullptr, nullptr);
     return;
   }
   connection->Pending = request;
-  HttpRequest received{it->first, {}, connection->Number};
+  HttpRequest received{it->first, query ? query : "", {}, connection->Number};
   evbuffer *body = evhttp_request_get_input_buffer(request);
   received.Body.resize(evbuffer_get_length(body));
   evbuffer_remove(body, received.Body.data(), received.Body.size());
--- a/baobabpin/http/HttpServer.h
+++ b/baobabpin/http/HttpServer.h
@@ -21,6 +21,8 @@
 
 struct HttpRequest {
   std::string Path;
+  /// What follows the question mark, encoded; empty if there is none.
+  std::string Query;
   std::string Body;
   /// Identifies the TCP connection; equal for all requests of one connection.
   std::uint64_t Connection = 0;
--- a/baobabpin/kernel/LineLog.cpp
+++ b/baobabpin/kernel/LineLog.cpp
@@ -91,8 +91,9 @@
     return;
   }
   if (Dropped > 0) {
-    Buffer += "process=" + Process + " event=log_lines_dropped lines=" +
-              std::to_string(Dropped) + "\n";
+    Buffer += "process=" + Process +
+              " event=log_lines_dropped lines=" + std::to_string(Dropped) +
+              "\n";
     Dropped = 0;
   }
   Buffer += text;
--- a/baobabpin/node/PlatformNode.cpp
+++ b/baobabpin/node/PlatformNode.cpp
@@ -14,8 +14,10 @@
 /// The removal of the node's registration gets this long before the end.
 constexpr std::chrono::milliseconds FarewellTime{150};
 
-void addServices(kernel::Kernel &kernel, kernel::LineLog &log,
-                 const platform::HostSettings &settings) {
+} // namespace
+
+void addPlatformServices(kernel::Kernel &kernel, kernel::LineLog &log,
+                         const platform::HostSettings &settings) {
   auto cluster = std::make_unique<control::ClusterService>(settings, log);
   auto frontend = std::make_unique<frontend::FrontendService>(settings, log);
   auto failover = std::make_unique<control::FailoverService>(
@@ -31,12 +33,10 @@
   kernel.add(std::move(failover));
 }
 
-} // namespace
-
 int runPlatformNode(const platform::HostSettings &settings) {
   kernel::Kernel kernel(settings.Node);
   kernel::LineLog log(kernel.loop(), settings.Node, STDOUT_FILENO);
-  addServices(kernel, log, settings);
+  addPlatformServices(kernel, log, settings);
   bool started = base::handleFailure(
       [&]() -> base::Result<bool> {
         BOOST_LEAF_CHECK(kernel.startAll());
@@ -48,16 +48,17 @@
       });
   if (!started)
     return ExitFailed;
-  log.line("started").add("zone", settings.Zone).add("address",
-                                                     settings.Address);
+  log.line("started")
+      .add("zone", settings.Zone)
+      .add("address", settings.Address);
   auto &frontend = kernel.find<frontend::FrontendService>("frontend");
   kernel::Timer farewell;
   kernel.loop().onSignal(SIGTERM, [&] {
     log.line("stop_asked").add("signal", "SIGTERM");
     frontend.drain([&] {
       kernel.find<control::ClusterService>("cluster").removeRegistration();
-      farewell = kernel.loop().runAfter(FarewellTime,
-                                        [&] { kernel.loop().stop(); });
+      farewell =
+          kernel.loop().runAfter(FarewellTime, [&] { kernel.loop().stop(); });
     });
   });
   kernel.loop().onSignal(SIGHUP, [&] {
--- a/baobabpin/pooling/ServerLink.cpp
+++ b/baobabpin/pooling/ServerLink.cpp
@@ -10,10 +10,11 @@
 
 } // namespace
 
-std::shared_ptr<ServerLink>
-ServerLink::open(kernel::EventLoop &loop, const http::Endpoint &endpoint,
-                 const std::string &group, const std::string &server,
-                 OpenCallback callback) {
+std::shared_ptr<ServerLink> ServerLink::open(kernel::EventLoop &loop,
+                                             const http::Endpoint &endpoint,
+                                             const std::string &group,
+                                             const std::string &server,
+                                             OpenCallback callback) {
   std::shared_ptr<ServerLink> it(new ServerLink);
   it->OnOpen = std::move(callback);
   std::weak_ptr<ServerLink> weak = it;
--- a/baobabpin/pooling/ServerLink.h
+++ b/baobabpin/pooling/ServerLink.h
@@ -32,10 +32,11 @@
   using OpenCallback = std::function<void(std::optional<sql::ErrorCode>)>;
   using BatchCallback = std::function<void(std::vector<sql::Reply>)>;
 
-  static std::shared_ptr<ServerLink>
-  open(kernel::EventLoop &loop, const http::Endpoint &endpoint,
-       const std::string &group, const std::string &server,
-       OpenCallback callback);
+  static std::shared_ptr<ServerLink> open(kernel::EventLoop &loop,
+                                          const http::Endpoint &endpoint,
+                                          const std::string &group,
+                                          const std::string &server,
+                                          OpenCallback callback);
   ~ServerLink();
 
   /// Sends \p lines, which hold \p count statements. The callback gets as many
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -96,8 +96,8 @@
 void ServerPool::release(const LinkPtr &link) {
   if (!take(Busy, link))
     return;
-  bool reusable = link->isIdle() &&
-                  link->transaction() == sql::TransactionState::Idle;
+  bool reusable =
+      link->isIdle() && link->transaction() == sql::TransactionState::Idle;
   if (!reusable || Closing) {
     link->OnSettled = nullptr;
     link->close();
@@ -130,12 +130,12 @@
 
 void ServerPool::openOne() {
   auto holder = std::make_shared<std::weak_ptr<ServerLink>>();
-  LinkPtr link = ServerLink::open(
-      Loop, Server.Address, Server.Group, Server.Id,
-      [this, holder](std::optional<sql::ErrorCode> error) {
-        if (LinkPtr it = holder->lock())
-          onOpened(it, error);
-      });
+  LinkPtr link =
+      ServerLink::open(Loop, Server.Address, Server.Group, Server.Id,
+                       [this, holder](std::optional<sql::ErrorCode> error) {
+                         if (LinkPtr it = holder->lock())
+                           onOpened(it, error);
+                       });
   *holder = link;
   link->OnSettled = [this, holder] {
     LinkPtr it = holder->lock();
--- a/baobabpin/relay/Channel.h
+++ b/baobabpin/relay/Channel.h
@@ -1,8 +1,8 @@
 /// A connection to the owner of servers' connections, shared by all statements
 /// of this node that go through it.
 ///
-/// While a reply is outstanding, pings show whether the owner is alive; a silent
-/// owner is given up long before TCP would notice.
+/// While a reply is outstanding, pings show whether the owner is alive; a
+/// silent owner is given up long before TCP would notice.
 #pragma once
 
 #include "baobabpin/base/BootClock.h"
--- a/baobabpin/relay/Messages.cpp
+++ b/baobabpin/relay/Messages.cpp
@@ -192,12 +192,9 @@
 }
 
 std::string encode(const Reply &it) {
-  json body{{"seq", it.Sequence},
-            {"leaving", it.Leaving},
-            {"result", toJson(it.Result)},
-            {"refused", it.RefusedByOwner},
-            {"tx", it.Transaction},
-            {"epoch", it.Epoch},
+  json body{{"seq", it.Sequence},          {"leaving", it.Leaving},
+            {"result", toJson(it.Result)}, {"refused", it.RefusedByOwner},
+            {"tx", it.Transaction},        {"epoch", it.Epoch},
             {"primary", it.OnPrimary}};
   if (it.Position) {
     body["position"] = toJson(*it.Position);
--- /dev/null
+++ b/standins/platform/GroupStandIn.h
@@ -0,0 +1,67 @@
+/// A replicated database group that speaks the platform's text protocol, for
+/// tests. Replicas receive commits at once unless they are held back.
+#pragma once
+
+#include "baobabpin/base/LogPosition.h"
+#include "baobabpin/net/LineConnection.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace baobabpin::standins::platform {
+
+struct LogEntry {
+  base::TermNumber Term = 0;
+  std::string Item;
+  std::string Data;
+};
+
+/// One statement that a server ran.
+struct RunRecord {
+  std::string Server;
+  std::string Id;
+  std::string Text;
+  std::map<std::string, std::string> Values;
+};
+
+class GroupStandIn {
+public:
+  GroupStandIn(kernel::EventLoop &loop, std::string name);
+  ~GroupStandIn();
+
+  /// Adds a server; the first one leads term 1.
+  base::Result<void> addServer(const std::string &id,
+                               const http::Endpoint &endpoint);
+  /// The server refuses connections and drops those that are open.
+  void crash(const std::string &id);
+  /// Makes the server lead the next term.
+  void promote(const std::string &id);
+  bool isPrimary(const std::string &id) const;
+  /// The replica receives nothing from now on.
+  void hold(const std::string &id) { Held.insert(id); }
+  /// The registration that the server writes into the store.
+  std::string registration(const std::string &id, bool draining = false) const;
+
+  std::vector<RunRecord> Runs;
+  /// So many replies to clients' statements are never sent.
+  int RepliesToDrop = 0;
+  int MaxConnections = 16;
+
+private:
+  struct Server;
+  class Connection;
+
+  base::LogPosition position(const Server &server) const;
+  void commit(Server &primary, const std::vector<LogEntry> &entries);
+
+  kernel::EventLoop &Loop;
+  std::string Name;
+  base::TermNumber Term = 1;
+  std::map<std::string, std::unique_ptr<Server>> Servers;
+  std::set<std::string> Held;
+};
+
+} // namespace baobabpin::standins::platform
--- /dev/null
+++ b/standins/platform/StoreStandIn.cpp
@@ -0,0 +1,137 @@
+#include "standins/platform/StoreStandIn.h"
+
+#include <event2/http.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace baobabpin::standins::platform {
+namespace {
+
+using nlohmann::json;
+
+std::string encodeBase64(const std::string &data) {
+  std::string buf(4 * ((data.size() + 2) / 3), '\0');
+  EVP_EncodeBlock(reinterpret_cast<unsigned char *>(buf.data()),
+                  reinterpret_cast<const unsigned char *>(data.data()),
+                  static_cast<int>(data.size()));
+  return buf;
+}
+
+std::string decodeBase64(const std::string &text) {
+  std::string buf(text.size() / 4 * 3, '\0');
+  EVP_DecodeBlock(reinterpret_cast<unsigned char *>(buf.data()),
+                  reinterpret_cast<const unsigned char *>(text.data()),
+                  static_cast<int>(text.size()));
+  while (!text.empty() && text[text.size() - 1] == '=' && !buf.empty() &&
+         buf.back() == '\0')
+    buf.pop_back();
+  return buf;
+}
+
+/// The decoded value of \p name in a query.
+std::string parameter(const std::string &query, const std::string &name) {
+  std::string mark = name + "=";
+  auto begin = query.find(mark);
+  if (begin == std::string::npos)
+    return {};
+  begin += mark.size();
+  std::string raw = query.substr(begin, query.find('&', begin) - begin);
+  char *decoded = evhttp_uridecode(raw.c_str(), 0, nullptr);
+  std::string value = decoded ? decoded : "";
+  free(decoded);
+  return value;
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(kernel::EventLoop &loop) : Server(loop) {
+  Server.handle("/kv-range", [this](const http::HttpRequest &request,
+                                    const http::ResponderPtr &responder) {
+    onRange(request, responder);
+  });
+  Server.handle("/kv-txn", [this](const http::HttpRequest &request,
+                                  const http::ResponderPtr &responder) {
+    onChange(request, responder);
+  });
+  Server.handle("/promotions", [this](const http::HttpRequest &request,
+                                      const http::ResponderPtr &responder) {
+    onPromotion(request, responder);
+  });
+}
+
+base::Result<void> StoreStandIn::listen(const http::Endpoint &endpoint) {
+  BOOST_LEAF_CHECK(Server.listen(endpoint));
+  return {};
+}
+
+void StoreStandIn::put(const std::string &key, const std::string &value) {
+  Items[key] = {value, ++Revision};
+}
+
+void StoreStandIn::remove(const std::string &key) {
+  Items.erase(key);
+  ++Revision;
+}
+
+std::string StoreStandIn::get(const std::string &key) const {
+  auto it = Items.find(key);
+  return it == Items.end() ? std::string() : it->second.Value;
+}
+
+void StoreStandIn::onRange(const http::HttpRequest &request,
+                           const http::ResponderPtr &responder) {
+  if (Down) {
+    responder->json(503, "{}");
+    return;
+  }
+  std::string prefix = parameter(request.Query, "Prefix");
+  json items = json::array();
+  for (const auto &[key, it] : Items) {
+    if (key.starts_with(prefix))
+      items.push_back({{"Key", key},
+                       {"Value", encodeBase64(it.Value)},
+                       {"Revision", it.Revision}});
+  }
+  responder->json(
+      200, json{{"items", items}, {"HasMore", false}, {"AtRevision", Revision}}
+               .dump());
+}
+
+void StoreStandIn::onChange(const http::HttpRequest &request,
+                            const http::ResponderPtr &responder) {
+  if (Down) {
+    responder->json(503, "{}");
+    return;
+  }
+  json body = json::parse(request.Body);
+  for (const json &it : body.at("ExpectedRevision")) {
+    auto item = Items.find(it.at("Key").get<std::string>());
+    auto revision = item == Items.end() ? 0 : item->second.Revision;
+    if (revision != it.at("Revision").get<std::uint64_t>()) {
+      responder->json(412, "{}");
+      return;
+    }
+  }
+  ++Revision;
+  for (const json &it : body.at("SetKeys"))
+    Items[it.at("Key").get<std::string>()] = {
+        decodeBase64(it.at("Value").get<std::string>()), Revision};
+  for (const json &it : body.at("Remove"))
+    Items.erase(it.get<std::string>());
+  if (RepliesToDrop > 0) {
+    --RepliesToDrop;
+    responder->abort();
+    return;
+  }
+  responder->json(200, json{{"Revision", Revision}}.dump());
+}
+
+void StoreStandIn::onPromotion(const http::HttpRequest &request,
+                               const http::ResponderPtr &responder) {
+  json body = json::parse(request.Body);
+  int status = OnPromotion(body.at("Service").get<std::string>(),
+                           body.at("Id").get<std::string>());
+  responder->json(status, "{}");
+}
+
+} // namespace baobabpin::standins::platform
