Confirm the view by a quorum while the store is away; end without cut sessions

Change: a majority confirms, up to 8 s after the last contact with the store; a mover waits for as many acknowledgements as make the two sets overlap, recently added nodes included, then for the lease.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -18,6 +18,7 @@
 
 json toJson(const NodeRecord &it) {
   return {{"incarnation", it.Incarnation},
+          {"added_ms", it.AddedMs},
           {"peer", http::formatEndpoint(it.Peer)},
           {"relay", http::formatEndpoint(it.Relay)},
           {"zone", it.Zone},
@@ -39,6 +40,7 @@
 
 NodeRecord nodeFrom(const json &it) {
   return {.Incarnation = it.at("incarnation").get<std::uint64_t>(),
+          .AddedMs = it.at("added_ms").get<std::uint64_t>(),
           .Peer = http::parseEndpoint(it.at("peer").get<std::string>()),
           .Relay = http::parseEndpoint(it.at("relay").get<std::string>()),
           .Zone = it.at("zone").get<std::string>(),
@@ -126,6 +128,23 @@
   }
 }
 
+std::size_t confirmQuorum(std::size_t registered) { return registered / 2 + 1; }
+
+std::size_t moveQuorum(std::size_t registered, std::size_t recent) {
+  return registered - (registered - recent) / 2;
+}
+
+std::size_t countRecent(const ClusterView &view,
+                        std::chrono::milliseconds wallTime) {
+  constexpr auto age =
+      OfflineLimit + PrimaryLease + LeaseMargin + WallClockTolerance;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(view.Nodes, [&](const auto &it) {
+        std::chrono::milliseconds added(it.second.Value.AddedMs);
+        return added + age > wallTime;
+      }));
+}
+
 std::uint64_t digestOf(const ClusterView &view) {
   return base::hash64(contentsOf(view).dump());
 }
@@ -155,10 +174,12 @@
   if (other.Revision < view.Revision)
     return false;
   auto validated = std::max(view.ValidatedAt, other.ValidatedAt);
+  auto storeSeen = std::max(view.StoreSeenAt, other.StoreSeenAt);
   bool changed = other.Revision > view.Revision;
   if (changed)
     view = std::move(other);
   view.ValidatedAt = validated;
+  view.StoreSeenAt = storeSeen;
   return changed;
 }
 
--- a/baobabpin/cluster/ClusterView.h
+++ b/baobabpin/cluster/ClusterView.h
@@ -2,10 +2,16 @@
 /// a primary.
 ///
 /// A node may use a group's primary while its view is at most PrimaryLease old.
-/// A node that moves a group first writes the intent (GroupRecord::Moving) and
-/// then waits until every registered node has acknowledged it or PrimaryLease
-/// has passed since the write. So no node uses the old primary when the new one
-/// begins to commit, whether it is reachable, suspended or cut off.
+/// A view is confirmed by the store, or, while the store is away, by
+/// confirmQuorum() nodes that know of nothing newer.
+///
+/// A node that moves a group first writes the intent (GroupRecord::Moving). It
+/// goes on when every registered node has acknowledged the intent, or
+/// PrimaryLease after moveQuorum() nodes have: any later quorum that confirms
+/// an older view would include one of them. With fewer acknowledgements it
+/// waits until no view can be confirmed without the store any more. So no node
+/// uses the old primary when the new one begins to commit, whether it is
+/// reachable, suspended or cut off.
 #pragma once
 
 #include "baobabpin/cluster/Types.h"
@@ -22,9 +28,16 @@
 /// staleness should outlast the move; peers renew the view several times within
 /// it, also while the store is away.
 inline constexpr std::chrono::milliseconds PrimaryLease{1800};
+/// How long after its last contact with the store, by itself or through peers,
+/// a node's view may still be confirmed by a quorum. Longer than most outages
+/// of the store; a move with too few nodes in touch is delayed by as much.
+inline constexpr std::chrono::milliseconds OfflineLimit{8000};
 /// Added by the mover to PrimaryLease for the granularity of timers.
 inline constexpr std::chrono::milliseconds LeaseMargin{100};
 
+/// How far the times of day of two hosts may differ, steps included.
+inline constexpr std::chrono::milliseconds WallClockTolerance{3000};
+
 /// Keys below the prefix that the nodes own.
 inline constexpr const char *GroupKeyPart = "group/";
 inline constexpr const char *NodeKeyPart = "node/";
@@ -33,13 +46,27 @@
 struct ClusterView {
   /// The store's revision that this view reflects; 0: nothing is known.
   std::uint64_t Revision = 0;
-  /// The store confirmed the view in reply to a request sent at this time.
+  /// The view was confirmed in reply to requests sent at this time.
   base::BootTime ValidatedAt{};
+  /// The last confirmation that came from the store, directly or relayed.
+  base::BootTime StoreSeenAt{};
   std::map<base::GroupName, Versioned<GroupRecord>> Groups;
   std::map<std::string, Versioned<NodeRecord>> Nodes;
   Versioned<DutyRecord> Duty;
 };
 
+/// Nodes, this one included, that can confirm a view without the store, of
+/// \p registered ones.
+std::size_t confirmQuorum(std::size_t registered);
+/// Acknowledgements, the mover's own included, after which PrimaryLease bounds
+/// the use of the old primary. \p recent of the registered nodes may be unknown
+/// to a quorum that confirms an older view.
+std::size_t moveQuorum(std::size_t registered, std::size_t recent);
+/// Nodes that registered for the first time so recently that a confirming node
+/// may not know them. \p wallTime is the time of day.
+std::size_t countRecent(const ClusterView &view,
+                        std::chrono::milliseconds wallTime);
+
 std::string encodeRecord(const GroupRecord &it);
 std::string encodeRecord(const NodeRecord &it);
 std::string encodeRecord(const DutyRecord &it);
--- a/baobabpin/cluster/ClusterViewTest.cpp
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -90,6 +90,31 @@
   }
 }
 
+TEST_CASE("quorums overlap") {
+  // A view that is confirmed without the store must be known to be outdated by
+  // one of the nodes that acknowledged a move, also when the confirming nodes
+  // do not know those that registered last.
+  for (std::size_t registered = 1; registered <= 100; ++registered) {
+    for (std::size_t recent = 0; recent < registered; ++recent) {
+      CAPTURE(registered);
+      CAPTURE(recent);
+      CHECK(confirmQuorum(registered - recent) +
+                moveQuorum(registered, recent) >
+            registered);
+    }
+  }
+  // Three of nine nodes in a zone that is cut off must not delay a move.
+  CHECK(moveQuorum(9, 0) <= 6);
+}
+
+TEST_CASE("nodes that others may not know") {
+  ClusterView view = makeView({"n1", 11});
+  view.Nodes["n1"].Value.AddedMs = 100000;
+  CHECK(countRecent(view, 101s) == 1);
+  CHECK(countRecent(view, 100s + OfflineLimit) == 1);
+  CHECK(countRecent(view, 130s) == 0);
+}
+
 TEST_CASE("a view travels whole") {
   ClusterView view = makeView({"n1", 11});
   view.Duty = {{"n1", 8}, 5};
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -89,6 +89,8 @@
 struct NodeRecord {
   /// Start of the process, in Unix milliseconds; tells two runs apart.
   std::uint64_t Incarnation = 0;
+  /// First registration under this name, in Unix milliseconds.
+  std::uint64_t AddedMs = 0;
   http::Endpoint Peer;
   /// Where the node accepts statements for servers whose connections it owns.
   http::Endpoint Relay;
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -43,8 +43,10 @@
 struct ClusterService::SyncRound {
   base::BootTime SentAt{};
   std::size_t Outstanding = 0;
-  /// Every registered peer answered and knows of no newer records.
-  bool AllConfirm = false;
+  /// Peers that answered and know of no newer records.
+  std::size_t Confirmations = 0;
+  /// A reply may have been given before a change that this node knows now.
+  bool Outdated = false;
 };
 
 ClusterService::ClusterService(platform::HostSettings settings,
@@ -176,6 +178,7 @@
   }
   fresh.Revision = revision;
   fresh.ValidatedAt = sentAt;
+  fresh.StoreSeenAt = sentAt;
   StoreConfirmedAt = std::max(StoreConfirmedAt, sentAt);
   adoptView(std::move(fresh), "store");
   ensureRegistered();
@@ -295,15 +298,21 @@
   return true;
 }
 
-void ClusterService::ensureRegistered() {
+bool ClusterService::isRegistered() const {
   auto it = View.Nodes.find(Self.Node);
-  bool registered = it != View.Nodes.end() && !it->second.Value.Retired &&
-                    it->second.Value.Incarnation == Self.Incarnation;
-  if (registered || Registering || Leaving)
+  return it != View.Nodes.end() && !it->second.Value.Retired &&
+         it->second.Value.Incarnation == Self.Incarnation;
+}
+
+void ClusterService::ensureRegistered() {
+  if (isRegistered() || Registering || Leaving)
     return;
+  auto it = View.Nodes.find(Self.Node);
   Registering = true;
-  cluster::NodeRecord record{Self.Incarnation, Settings.Peers, Settings.Relay,
-                             Settings.Zone, false};
+  std::uint64_t added =
+      it == View.Nodes.end() ? Self.Incarnation : it->second.Value.AddedMs;
+  cluster::NodeRecord record{Self.Incarnation, added,         Settings.Peers,
+                             Settings.Relay,   Settings.Zone, false};
   std::uint64_t revision = it == View.Nodes.end() ? 0 : it->second.Revision;
   change({{std::string(platform::OwnPrefix) + cluster::NodeKeyPart + Self.Node,
            cluster::encodeRecord(record), revision, false}},
@@ -411,8 +420,7 @@
   auto round = std::make_shared<SyncRound>();
   round->SentAt = base::BootClock::now();
   round->Outstanding = targets.size();
-  round->AllConfirm =
-      everyone && !View.Nodes.empty() && targets.size() == peers().size();
+  round->Outdated = !everyone || View.Nodes.empty();
   if (everyone) {
     LastSync = round->SentAt;
     PositionsWanted = false;
@@ -436,8 +444,8 @@
                                  const std::string &peer,
                                  const std::optional<std::string> &body) {
   auto reply = body ? decodeSyncReply(*body) : std::nullopt;
-  if (!reply || reply->ChangePending)
-    round->AllConfirm = false;
+  if (reply && !reply->CannotConfirm)
+    ++round->Confirmations;
   if (reply)
     adoptReply(*round, peer, *reply);
   if (--round->Outstanding == 0)
@@ -447,16 +455,18 @@
 void ClusterService::adoptReply(SyncRound &round, const std::string &peer,
                                 const SyncReply &reply) {
   auto confirmed = round.SentAt - reply.ViewAge;
+  auto storeSeen = round.SentAt - reply.StoreAge;
   if (!reply.View.empty()) {
     auto view = cluster::decodeView(reply.View);
     view.ValidatedAt = confirmed;
-    // Peers that replied before may not know of these records.
-    round.AllConfirm = false;
+    view.StoreSeenAt = storeSeen;
+    round.Outdated = true;
     adoptView(std::move(view), peer);
     ensureRegistered();
   } else if (reply.ViewRevision >= View.Revision) {
     View.Revision = reply.ViewRevision;
     View.ValidatedAt = std::max(View.ValidatedAt, confirmed);
+    View.StoreSeenAt = std::max(View.StoreSeenAt, storeSeen);
   }
   if (!reply.Config.empty() && adoptConfiguration(reply.Config, peer))
     notify();
@@ -470,11 +480,12 @@
 
 void ClusterService::finishRound(const SyncRound &round) {
   SyncRunning = false;
-  if (!round.AllConfirm || ChangesPending > 0 || View.Revision == 0 ||
-      base::BootClock::now() < UncertainUntil)
+  auto quorum = cluster::confirmQuorum(View.Nodes.size());
+  bool offlineTooLong = round.SentAt - View.StoreSeenAt > cluster::OfflineLimit;
+  if (round.Outdated || round.Confirmations + 1 < quorum || offlineTooLong ||
+      ChangesPending > 0 || base::BootClock::now() < UncertainUntil)
     return;
-  if (round.SentAt > View.ValidatedAt)
-    View.ValidatedAt = round.SentAt;
+  View.ValidatedAt = std::max(View.ValidatedAt, round.SentAt);
 }
 
 void ClusterService::pushView() {
@@ -520,13 +531,17 @@
     return std::chrono::ceil<milliseconds>(now - since);
   };
   reply.ViewAge = age(View.ValidatedAt);
+  reply.StoreAge = age(View.StoreSeenAt);
   reply.ConfigAge = age(ConfigConfirmedAt);
   reply.ServersAge = age(ServersConfirmedAt);
   if (request->ServersDigest != ServersDigest)
     reply.Servers = LastServers;
   if (Config && Config->Version > request->ConfigVersion)
     reply.Config = ConfigDocument;
-  reply.ChangePending = ChangesPending > 0 || now < UncertainUntil;
+  // A process that has not registered by itself may have forgotten a promise
+  // that its host gave before a restart.
+  reply.CannotConfirm =
+      ChangesPending > 0 || now < UncertainUntil || Leaving || !isRegistered();
   if (Hooks.Positions)
     reply.Positions = Hooks.Positions();
   responder->json(200, encode(reply));
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -4,9 +4,8 @@
 /// One node, the reader, reads the store for all; the others ask it, because a
 /// call to a peer costs far less than one to the store. A node whose view grows
 /// old reads the store itself and asks all peers: any of them with a fresher
-/// view relays it. When no peer reaches the store either,
-/// all registered peers together confirm the view: each of them would have to
-/// write to the store, and then wait for this node, before a primary changes.
+/// view relays it. When no peer reaches the store either, a quorum of them
+/// confirms the view (cluster/ClusterView.h).
 #pragma once
 
 #include "baobabpin/cluster/ClusterView.h"
@@ -118,6 +117,7 @@
   bool adoptConfiguration(const std::string &document, std::string_view source);
   void adoptView(cluster::ClusterView view, std::string_view source);
   void ensureRegistered();
+  bool isRegistered() const;
   void tick();
   /// The node that reads the store for all.
   std::string readerNode() const;
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -52,7 +52,12 @@
   cluster::GroupRecord Record;
   bool Planned = false;
   base::BootTime StartedAt{};
+  /// Nodes that were registered at the start, this one included.
+  std::size_t Registered = 0;
   std::set<std::string> Unacknowledged;
+  std::size_t Quorum = 0;
+  /// When enough nodes had acknowledged the intent.
+  std::optional<base::BootTime> QuorumAt;
   /// Set when the old primary confirmed that it stepped down.
   std::optional<sql::ServerStatus> OldStatus;
   base::BootTime ChoosingSince{};
@@ -269,6 +274,7 @@
       .add("planned", move->Planned ? "yes" : "no")
       .add("unacknowledged",
            static_cast<std::int64_t>(move->Unacknowledged.size()))
+      .add("quorum", static_cast<std::int64_t>(move->Quorum))
       .add("elapsed_ms", base::BootClock::now() - move->StartedAt);
 }
 
@@ -290,6 +296,11 @@
     move->Unacknowledged.insert(peer.Name);
     revokePeer(move, peer);
   }
+  move->Registered = move->Unacknowledged.size();
+  auto wallTime = std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  move->Quorum = cluster::moveQuorum(
+      move->Registered, cluster::countRecent(Cluster->view(), wallTime));
   logMove(move, "started");
   later(move, milliseconds(1), &FailoverService::waitForRevocation);
 }
@@ -318,6 +329,17 @@
                          });
 }
 
+bool FailoverService::hasLeaseEnded(const MovePtr &move) const {
+  constexpr auto lease = cluster::PrimaryLease + cluster::LeaseMargin;
+  auto now = base::BootClock::now();
+  std::size_t acknowledged = move->Registered - move->Unacknowledged.size();
+  if (!move->QuorumAt && acknowledged >= move->Quorum)
+    move->QuorumAt = now;
+  if (move->QuorumAt && now - *move->QuorumAt > lease)
+    return true;
+  return now - move->StartedAt > cluster::OfflineLimit + lease;
+}
+
 void FailoverService::waitForRevocation(const MovePtr &move) {
   // A node that deregistered has stopped using servers.
   std::set<std::string> registered{Cluster->self().Node};
@@ -326,9 +348,7 @@
   std::erase_if(move->Unacknowledged, [&](const std::string &it) {
     return !registered.contains(it);
   });
-  auto waited = base::BootClock::now() - move->StartedAt;
-  bool expired = waited > cluster::PrimaryLease + cluster::LeaseMargin;
-  if (!move->Unacknowledged.empty() && !expired) {
+  if (!move->Unacknowledged.empty() && !hasLeaseEnded(move)) {
     later(move, milliseconds(5), &FailoverService::waitForRevocation);
     return;
   }
@@ -563,9 +583,11 @@
       continue;
     }
     auto [seen, added] = RetiredSeen.emplace(name, now);
-    // The node's last right to use a primary ended PrimaryLease after the mark.
-    if (added ||
-        now - seen->second < cluster::PrimaryLease + cluster::LeaseMargin)
+    // By then the node's view can no longer be confirmed, not even by others
+    // that are cut off together with it.
+    constexpr auto limit =
+        cluster::OfflineLimit + cluster::PrimaryLease + cluster::LeaseMargin;
+    if (added || now - seen->second < limit)
       continue;
     seen->second = now;
     Cluster->change({{nodeKey(name), {}, it.Revision, true}},
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -73,6 +73,8 @@
              void (FailoverService::*step)(const MovePtr &));
   void revokePeer(const MovePtr &move, const PeerNode &peer);
   void waitForRevocation(const MovePtr &move);
+  /// Whether no node that did not answer can use the old primary any more.
+  bool hasLeaseEnded(const MovePtr &move) const;
   void stepDown(const MovePtr &move);
   void queryCandidates(const MovePtr &move);
   void choose(const MovePtr &move);
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -76,10 +76,11 @@
   json body{{"view", it.View},
             {"view_revision", it.ViewRevision},
             {"view_age_ms", it.ViewAge.count()},
+            {"store_age_ms", it.StoreAge.count()},
             {"config", it.Config},
             {"config_age_ms", it.ConfigAge.count()},
             {"servers_age_ms", it.ServersAge.count()},
-            {"change_pending", it.ChangePending},
+            {"cannot_confirm", it.CannotConfirm},
             {"positions", positions}};
   if (it.Servers) {
     body["servers"] = json::array();
@@ -130,10 +131,11 @@
     reply.View = it.at("view").get<std::string>();
     reply.ViewRevision = it.at("view_revision").get<std::uint64_t>();
     reply.ViewAge = millis(it.at("view_age_ms"));
+    reply.StoreAge = millis(it.at("store_age_ms"));
     reply.Config = it.at("config").get<std::string>();
     reply.ConfigAge = millis(it.at("config_age_ms"));
     reply.ServersAge = millis(it.at("servers_age_ms"));
-    reply.ChangePending = it.at("change_pending").get<bool>();
+    reply.CannotConfirm = it.at("cannot_confirm").get<bool>();
     if (it.contains("servers")) {
       reply.Servers.emplace();
       for (const json &server : it["servers"])
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -44,16 +44,18 @@
   /// Set when it is not older than the caller's and has other records.
   std::string View;
   std::uint64_t ViewRevision = 0;
-  /// Time since the store confirmed the view.
+  /// Time since the view was confirmed, and since the store did so.
   std::chrono::milliseconds ViewAge{0};
+  std::chrono::milliseconds StoreAge{0};
   /// The configuration document when newer than the caller's.
   std::string Config;
   std::chrono::milliseconds ConfigAge{0};
   /// All usable registrations when they differ from the caller's.
   std::optional<std::vector<cluster::ServerRegistration>> Servers;
   std::chrono::milliseconds ServersAge{0};
-  /// A change of the records is under way whose outcome is not known yet.
-  bool ChangePending = false;
+  /// A change of the records is under way whose outcome is not known yet, or
+  /// the node is not registered.
+  bool CannotConfirm = false;
   std::map<base::GroupName, PositionReport> Positions;
 };
 
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -330,6 +330,8 @@
       .add("sessions", static_cast<std::int64_t>(Sessions.size()))
       .add("elapsed_ms", elapsed);
   DrainTicker.cancel();
+  // A session that began now would be cut by the end of the process.
+  Clients->stop();
   if (auto callback = std::exchange(OnDrained, nullptr))
     callback();
 }
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -170,6 +170,7 @@
     waitOrRefuse(choice.Use, ErrorCode::Lagging);
     return;
   }
+  // Nodes in another zone may reach servers that this one does not.
   finish(ErrorCode::Lagging, "no_fresh_server");
 }
 
--- a/standins/platform/PlatformNodeTest.cpp
+++ b/standins/platform/PlatformNodeTest.cpp
@@ -310,6 +310,13 @@
     idle.Connection->close();
     busy.Connection->close();
     CHECK(world.runUntil([&] { return drained; }, 4s));
+    // A session that began now would be cut by the end of the process.
+    bool refused = false;
+    net::LineHandlers handlers;
+    handlers.OnClosed = [&] { refused = true; };
+    auto late = net::LineConnection::connect(world.Kernel.loop(), endpoint(0),
+                                             std::move(handlers));
+    CHECK(world.runUntil([&] { return refused; }, 1s));
   }
   SUBCASE("completes the reply to a request that crosses the notice") {
     // The client takes the notice as the beginning of its reply and goes on;
