Wait for the first position of a primary; overlap rounds without the store

While the store was away a round of peers lasted as long as its slowest member, and readiness changed to and fro (3 to 9 s).

--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -375,7 +375,10 @@
   auto age = now - View.ValidatedAt;
   bool reader = readerNode() == Self.Node;
   readStore(now, reader);
-  bool everyone = age > FallbackAge || !Config || PositionsWanted;
+  // Without the store, the next round begins before the last one's result is
+  // old: a node that does not answer makes a round last for SyncTimeout.
+  bool offline = now - View.StoreSeenAt > FallbackAge;
+  bool everyone = offline || !Config || PositionsWanted;
   bool due = everyone ? now - LastSync > SyncPeriod : age > RenewAge && !reader;
   if (due && !SyncRunning)
     syncWith(syncTargets(everyone), everyone);
@@ -386,7 +389,7 @@
                    milliseconds fallback) {
     return now - since > (asReader ? renew : fallback);
   };
-  if (older(View.ValidatedAt, RenewAge, FallbackAge))
+  if (older(View.StoreSeenAt, RenewAge, FallbackAge))
     RecordsReader->read();
   if (older(ServersConfirmedAt, ServersRenewAge, ServersFallbackAge))
     ServersReader->read();
@@ -448,8 +451,9 @@
     ++round->Confirmations;
   if (reply)
     adoptReply(*round, peer, *reply);
+  confirmByQuorum(*round);
   if (--round->Outstanding == 0)
-    finishRound(*round);
+    SyncRunning = false;
 }
 
 void ClusterService::adoptReply(SyncRound &round, const std::string &peer,
@@ -478,8 +482,7 @@
     Hooks.OnPeerPosition(group, it.Epoch, it.Position, round.SentAt - it.Age);
 }
 
-void ClusterService::finishRound(const SyncRound &round) {
-  SyncRunning = false;
+void ClusterService::confirmByQuorum(const SyncRound &round) {
   auto quorum = cluster::confirmQuorum(View.Nodes.size());
   bool offlineTooLong = round.SentAt - View.StoreSeenAt > cluster::OfflineLimit;
   if (round.Outdated || round.Confirmations + 1 < quorum || offlineTooLong ||
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -131,7 +131,7 @@
                    const std::optional<std::string> &body);
   void adoptReply(SyncRound &round, const std::string &peer,
                   const SyncReply &reply);
-  void finishRound(const SyncRound &round);
+  void confirmByQuorum(const SyncRound &round);
   void notify();
   std::map<base::GroupName, PositionReport> positions() const;
 
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -248,7 +248,7 @@
                                 std::uint64_t epoch, base::LogPosition position,
                                 base::BootTime since) {
     if (auto it = group(name))
-      cluster::recordSample(it->history(), epoch, since, position);
+      it->addSample(epoch, since, position);
   };
   return hooks;
 }
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -156,7 +156,15 @@
   // The reply of a primary that was replaced meanwhile proves nothing.
   if (choice.Pool.get() != &pool || choice.Epoch != *epoch)
     return;
-  cluster::recordSample(History, *epoch, sentAt, *reply.Position);
+  addSample(*epoch, sentAt, *reply.Position);
+}
+
+void GroupProxy::addSample(std::uint64_t epoch, base::BootTime sentAt,
+                           base::LogPosition position) {
+  bool first = History.Samples.empty() || epoch > History.Epoch;
+  cluster::recordSample(History, epoch, sentAt, position);
+  if (first)
+    ResumeTimer = Loop.runAfter({}, [this] { resumeWaiting(); });
 }
 
 void GroupProxy::tick() {
@@ -181,8 +189,11 @@
     return;
   auto heard = observePrimary().HeardAge;
   bool silent = heard && *heard > DirectProbeAfter;
-  // Whether the primary is gone, or its owner, shows only directly.
-  if (silent && !ProbeRunning && !ProbeWaiter && !choice.Pool->hasIdle()) {
+  // Whether the primary is gone, or its owner, shows only directly. Without any
+  // position, the owner's probe goes before the reads that wait for it.
+  bool needed =
+      silent || (History.Samples.empty() && !channelFor(*choice.Pool));
+  if (needed && !ProbeRunning && !ProbeWaiter && !choice.Pool->hasIdle()) {
     ProbeWaiter = std::make_shared<pooling::Waiter>();
     ProbeWaiter->Priority = -1;
     ProbeWaiter->OnGranted = [this, choice](const pooling::LinkPtr &link) {
@@ -215,8 +226,7 @@
     if (!it || it->Epoch != epoch)
       return;
     if (it->Position)
-      cluster::recordSample(History, it->Epoch, sentAt - it->PositionAge,
-                            *it->Position);
+      addSample(it->Epoch, sentAt - it->PositionAge, *it->Position);
     if (it->HeardAge)
       OwnerHeard = std::max(OwnerHeard, sentAt - *it->HeardAge);
   });
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -57,9 +57,13 @@
   /// sent, if the pool was the usable primary then.
   void observe(pooling::ServerPool &pool, base::BootTime sentAt,
                const sql::Reply &reply, std::optional<std::uint64_t> epoch);
-  cluster::PositionHistory &history() { return History; }
+  const cluster::PositionHistory &history() const { return History; }
+  /// Notes a position that the primary of \p epoch had reported by \p sentAt.
+  void addSample(std::uint64_t epoch, base::BootTime sentAt,
+                 base::LogPosition position);
 
-  /// Calls \p resume at the next change that may bring a usable primary. The
+  /// Calls \p resume at the next change that may bring a usable primary, and
+  /// when the first position of a primary is known. The
   /// returned handle forgets the call when dropped.
   using ResumeHandle = std::shared_ptr<std::function<void()>>;
   ResumeHandle waitForPrimary(std::function<void()> resume);
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -17,6 +17,10 @@
 /// replaced, or comes back, within the time limit of most statements.
 constexpr milliseconds PrimaryRetryDelay{25};
 constexpr milliseconds PrimaryRetryDelayLimit{100};
+/// How long a read waits for the first position of a primary. After a restart
+/// of all nodes, reads that went to the primaries instead kept them busy, so
+/// that no position came for a second.
+constexpr milliseconds PositionPatience{150};
 /// A read without a reply after this, or after several times the server's usual
 /// latency, is tried elsewhere: its reply may be lost.
 constexpr milliseconds SlowReplyFloor{250};
@@ -101,6 +105,7 @@
 
 void StatementRun::place() {
   Resume.reset();
+  RetryTimer.cancel();
   if (Request.FixedServer)
     placeFixed();
   else if (Request.NeedsPrimary)
@@ -160,6 +165,10 @@
     return;
   }
   auto choice = Group->primary();
+  if (!WaitFor && choice.Pool && !std::exchange(PositionAwaited, true)) {
+    waitForPosition();
+    return;
+  }
   if (choice.Pool && !Excluded.contains(choice.Pool->server().Id)) {
     WaitFor.reset();
     Epoch = choice.Epoch;
@@ -174,6 +183,15 @@
   finish(ErrorCode::Lagging, "no_fresh_server");
 }
 
+void StatementRun::waitForPosition() {
+  auto again = [weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->place();
+  };
+  Resume = Group->waitForPrimary(again);
+  RetryTimer = Loop.runAfter(PositionPatience, again);
+}
+
 void StatementRun::acquire(const PoolPtr &pool) {
   ++Tries;
   Pool = pool;
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -104,6 +104,8 @@
   /// Without a usable primary: waits for one if that is worth it, or ends with
   /// \p code.
   void waitOrRefuse(cluster::PrimaryUse use, sql::ErrorCode code);
+  /// Places the statement again when a position is known, or after a while.
+  void waitForPosition();
   void acquire(const PoolPtr &pool);
   void sendThroughOwner(const ChannelPtr &channel, std::uint64_t token);
   void onRelayed(std::optional<relay::Reply> reply);
@@ -152,6 +154,7 @@
   std::set<base::ServerId> Excluded;
   int Tries = 0;
   bool Sent = false;
+  bool PositionAwaited = false;
   bool Committing = false;
   kernel::Timer DeadlineTimer;
   kernel::Timer SlowTimer;
