--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -136,12 +136,12 @@
 
 std::size_t countRecent(const ClusterView &view,
                         std::chrono::milliseconds wallTime) {
-  constexpr auto age =
+  constexpr auto Age =
       OfflineLimit + PrimaryLease + LeaseMargin + WallClockTolerance;
   return static_cast<std::size_t>(
       std::ranges::count_if(view.Nodes, [&](const auto &it) {
         std::chrono::milliseconds added(it.second.Value.AddedMs);
-        return added + age > wallTime;
+        return added + Age > wallTime;
       }));
 }
 
--- a/baobabpin/configsync/StoreWrite.h
+++ b/baobabpin/configsync/StoreWrite.h
@@ -58,7 +58,6 @@
 WriteDecision afterWrite(StoreWrite &write, const store::StoreReply &reply);
 
 /// After a range read that begins with the key.
-WriteDecision afterReadBack(StoreWrite &write,
-                            const store::StoreReply &reply);
+WriteDecision afterReadBack(StoreWrite &write, const store::StoreReply &reply);
 
 } // namespace baobabpin::configsync
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -330,14 +330,14 @@
 }
 
 bool FailoverService::hasLeaseEnded(const MovePtr &move) const {
-  constexpr auto lease = cluster::PrimaryLease + cluster::LeaseMargin;
+  constexpr auto Lease = cluster::PrimaryLease + cluster::LeaseMargin;
   auto now = base::BootClock::now();
   std::size_t acknowledged = move->Registered - move->Unacknowledged.size();
   if (!move->QuorumAt && acknowledged >= move->Quorum)
     move->QuorumAt = now;
-  if (move->QuorumAt && now - *move->QuorumAt > lease)
+  if (move->QuorumAt && now - *move->QuorumAt > Lease)
     return true;
-  return now - move->StartedAt > cluster::OfflineLimit + lease;
+  return now - move->StartedAt > cluster::OfflineLimit + Lease;
 }
 
 void FailoverService::waitForRevocation(const MovePtr &move) {
@@ -587,7 +587,7 @@
     // that are cut off together with it.
     constexpr auto limit =
         cluster::OfflineLimit + cluster::PrimaryLease + cluster::LeaseMargin;
-    if (added || now - seen->second < limit)
+    if (added || now - seen->second < Limit)
       continue;
     seen->second = now;
     Cluster->change({{nodeKey(name), {}, it.Revision, true}},
