--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -585,7 +585,7 @@
     auto [seen, added] = RetiredSeen.emplace(name, now);
     // By then the node's view can no longer be confirmed, not even by others
     // that are cut off together with it.
-    constexpr auto limit =
+    constexpr auto Limit =
         cluster::OfflineLimit + cluster::PrimaryLease + cluster::LeaseMargin;
     if (added || now - seen->second < Limit)
       continue;
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -175,7 +175,7 @@
 void PeerCaller::call(
     const http::Endpoint &peer, const std::string &path,
     const std::string &body, std::chrono::milliseconds timeout,
-    std::function<void(std::optional<std::string>)> callback) {
+    const std::function<void(std::optional<std::string>)> &callback) {
   auto &connections = Connections[peer];
   http::HttpConnection *idle = nullptr;
   for (auto &it : connections) {
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -102,7 +102,7 @@
   /// The callback gets the body of the reply, or nothing.
   void call(const http::Endpoint &peer, const std::string &path,
             const std::string &body, std::chrono::milliseconds timeout,
-            std::function<void(std::optional<std::string>)> callback);
+            const std::function<void(std::optional<std::string>)> &callback);
 
 private:
   kernel::EventLoop &Loop;
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -32,6 +32,10 @@
 /// Left for the process to end before it is killed.
 constexpr milliseconds StopMargin{600};
 
+/// In seconds, around the latency that clients hope for.
+const prometheus::Histogram::BucketBoundaries LatencyBounds{
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6};
+
 std::string_view outcomeLabel(const sql::Reply &reply) {
   if (reply.succeeded())
     return "ok";
@@ -191,14 +195,12 @@
 void FrontendService::countStatement(const cluster::Route &route,
                                      const sql::Reply &reply,
                                      std::chrono::nanoseconds took) {
-  static const prometheus::Histogram::BucketBoundaries Bounds{
-      0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6};
   kernel::MetricLabels labels{
       {"kind", std::string(consistencyLabel(route.Reads))},
       {"outcome", std::string(outcomeLabel(reply))}};
   Kernel->metrics()
       .histogram("baobabpin_statement_seconds",
-                 "Time from a statement's arrival to its reply.", Bounds,
+                 "Time from a statement's arrival to its reply.", LatencyBounds,
                  labels)
       .Observe(std::chrono::duration<double>(took).count());
 }
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -349,7 +349,7 @@
     return;
   auto pinned = std::exchange(Transaction->Pinned, {});
   if (auto group = Context.Group(Transaction->Route.Group))
-    rollBack(*group, std::move(pinned));
+    rollBack(*group, pinned);
   else if (pinned.Link)
     pinned.Pool->release(pinned.Link);
 }
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -554,13 +554,13 @@
     ++RelayTry;
   auto pinned = std::exchange(Request.Pinned, {});
   if (pinned.Channel)
-    rollBack(*Group, std::move(pinned));
+    rollBack(*Group, pinned);
   auto link = std::exchange(Link, nullptr);
   if (link)
     Group->releaseClean(Pool, link);
 }
 
-void rollBack(GroupProxy &group, PinnedTransaction transaction) {
+void rollBack(GroupProxy &group, const PinnedTransaction &transaction) {
   if (transaction.Channel)
     transaction.Channel->release(transaction.Token);
   else if (transaction.Link)
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -36,7 +36,7 @@
 };
 
 /// Rolls the transaction back, without waiting.
-void rollBack(GroupProxy &group, PinnedTransaction transaction);
+void rollBack(GroupProxy &group, const PinnedTransaction &transaction);
 
 struct RunRequest {
   std::string Id;
--- a/baobabpin/kernel/LineLog.cpp
+++ b/baobabpin/kernel/LineLog.cpp
@@ -12,7 +12,7 @@
 /// Above a full day's statements of one node, about 200 a second.
 constexpr std::uint64_t MaxLinesPerSecond = 500;
 /// Lines that a reader has not taken yet.
-constexpr std::size_t MaxBufferBytes = 256 * 1024;
+constexpr std::size_t MaxBufferBytes = std::size_t{256} * 1024;
 constexpr std::chrono::milliseconds FlushPeriod{100};
 
 } // namespace
