--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -29,16 +29,16 @@
 /// a takeover waits longer than this.
 constexpr milliseconds TokenFreshness =
     cluster::PrimaryLease - milliseconds(500);
-constexpr milliseconds SuccessorPeriod{2000};
-constexpr milliseconds SuccessorTimeout{800};
-constexpr int SuccessorMissLimit = 3;
 
 std::string groupKey(const base::GroupName &group) {
   return std::string(platform::OwnPrefix) + cluster::GroupKeyPart + group;
 }
 
-std::string nodeKey(const std::string &node) {
-  return std::string(platform::OwnPrefix) + cluster::NodeKeyPart + node;
+/// What a server reported; empty without a whole report.
+std::optional<sql::ServerStatus> statusOf(const std::optional<sql::Reply> &it) {
+  if (!it || !it->succeeded() || it->Rows.empty())
+    return std::nullopt;
+  return platform::parseStatusRow(it->Rows.front());
 }
 
 std::string dutyKey() {
@@ -85,14 +85,11 @@
   Promotions =
       std::make_unique<platform::Promotions>(kernel.loop(), PromotionsEndpoint);
   Ticker = kernel.loop().runEvery(TickPeriod, [this] { tick(); });
-  SuccessorTicker =
-      kernel.loop().runEvery(SuccessorPeriod, [this] { checkSuccessor(); });
   return {};
 }
 
 void FailoverService::stop() {
   Ticker.cancel();
-  SuccessorTicker.cancel();
   Moves.clear();
 }
 
@@ -110,7 +107,6 @@
     return;
   for (const auto &[group, it] : config->Groups)
     checkGroup(group);
-  removeRetired();
 }
 
 void FailoverService::checkGroup(const base::GroupName &group) {
@@ -363,26 +359,24 @@
     MovePtr it = weak.lock();
     if (!it || !isCurrent(it))
       return;
-    auto status = reply && reply->succeeded() && !reply->Rows.empty()
-                      ? platform::parseStatusRow(reply->Rows.front())
-                      : std::nullopt;
+    auto status = statusOf(reply);
     if (!status || status->Role != sql::ServerRole::Primary) {
       it->OldStatus = status;
       queryCandidates(it);
       return;
     }
-    Access.Query(
-        it->Record.Primary, platform::formatStepDown(status->Term + 1),
-        StatusTimeout, [this, weak](const std::optional<sql::Reply> &stepped) {
-          MovePtr moved = weak.lock();
-          if (!moved || !isCurrent(moved))
-            return;
-          if (stepped && stepped->succeeded() && !stepped->Rows.empty())
-            moved->OldStatus = platform::parseStatusRow(stepped->Rows.front());
-          logMove(moved,
-                  moved->OldStatus ? "stepped_down" : "step_down_unconfirmed");
-          queryCandidates(moved);
-        });
+    Access.Query(it->Record.Primary, platform::formatStepDown(status->Term + 1),
+                 StatusTimeout,
+                 [this, weak](const std::optional<sql::Reply> &stepped) {
+                   MovePtr moved = weak.lock();
+                   if (!moved || !isCurrent(moved))
+                     return;
+                   if (auto it = statusOf(stepped))
+                     moved->OldStatus = it;
+                   logMove(moved, moved->OldStatus ? "stepped_down"
+                                                   : "step_down_unconfirmed");
+                   queryCandidates(moved);
+                 });
   };
   Access.Query(move->Record.Primary, platform::formatStatusQuery(),
                StatusTimeout, onStatus);
@@ -412,9 +406,7 @@
           MovePtr it = weak.lock();
           if (!it || !isCurrent(it))
             return;
-          auto status = reply && reply->succeeded() && !reply->Rows.empty()
-                            ? platform::parseStatusRow(reply->Rows.front())
-                            : std::nullopt;
+          auto status = statusOf(reply);
           if (status)
             it->Candidates.push_back(
                 {id, *status, Cluster->leavingSince(id).has_value(), false});
@@ -488,25 +480,23 @@
     stepDown(move);
     return;
   }
-  Access.Query(
-      move->Target, platform::formatStatusQuery(), StatusTimeout,
-      [this, weak = std::weak_ptr<Move>(move)](
-          const std::optional<sql::Reply> &reply) {
-        MovePtr it = weak.lock();
-        if (!it || !isCurrent(it))
-          return;
-        auto status = reply && reply->succeeded() && !reply->Rows.empty()
-                          ? platform::parseStatusRow(reply->Rows.front())
-                          : std::nullopt;
-        bool present = it->Target == it->Record.Primary;
-        if (status && cluster::isLeading(*status, it->Record.Term, present)) {
-          logMove(it, "leads");
-          it->NewTerm = status->Term;
-          finish(it);
-          return;
-        }
-        later(it, LeadPoll, &FailoverService::awaitLead);
-      });
+  Access.Query(move->Target, platform::formatStatusQuery(), StatusTimeout,
+               [this, weak = std::weak_ptr<Move>(move)](
+                   const std::optional<sql::Reply> &reply) {
+                 MovePtr it = weak.lock();
+                 if (!it || !isCurrent(it))
+                   return;
+                 auto status = statusOf(reply);
+                 bool present = it->Target == it->Record.Primary;
+                 if (status &&
+                     cluster::isLeading(*status, it->Record.Term, present)) {
+                   logMove(it, "leads");
+                   it->NewTerm = status->Term;
+                   finish(it);
+                   return;
+                 }
+                 later(it, LeadPoll, &FailoverService::awaitLead);
+               });
 }
 
 void FailoverService::finish(const MovePtr &move) {
@@ -530,74 +520,4 @@
       });
 }
 
-void FailoverService::checkSuccessor() {
-  const auto &nodes = Cluster->view().Nodes;
-  const std::string &self = Cluster->self().Node;
-  std::vector<PeerNode> alive;
-  for (const auto &[name, it] : nodes) {
-    if (name != self && !it.Value.Retired)
-      alive.push_back({name, it.Value.Peer});
-  }
-  if (alive.empty())
-    return;
-  auto next = std::ranges::find_if(
-      alive, [&](const PeerNode &it) { return it.Name > self; });
-  PeerNode peer = next == alive.end() ? alive.front() : *next;
-  if (std::exchange(Successor, peer.Name) != peer.Name)
-    SuccessorMisses = 0;
-  std::string body =
-      encode(SyncRequest{.Node = self, .ViewRevision = ~std::uint64_t{0}});
-  Cluster->caller().call(peer.Endpoint, SyncPath, body, SuccessorTimeout,
-                         [this, peer](const std::optional<std::string> &reply) {
-                           if (reply || peer.Name != Successor) {
-                             SuccessorMisses = 0;
-                             return;
-                           }
-                           if (++SuccessorMisses >= SuccessorMissLimit)
-                             retire(peer.Name);
-                         });
-}
-
-void FailoverService::retire(const std::string &node) {
-  auto it = Cluster->view().Nodes.find(node);
-  if (it == Cluster->view().Nodes.end() || !Cluster->isStoreReachable())
-    return;
-  cluster::NodeRecord record = it->second.Value;
-  record.Retired = true;
-  SuccessorMisses = 0;
-  Cluster->change({{nodeKey(node), cluster::encodeRecord(record),
-                    it->second.Revision, false}},
-                  [this, node](const store::StoreReply &reply) {
-                    Log.line("node_retired")
-                        .add("node", node)
-                        .add("result", store::storeStatusName(reply.Status));
-                  });
-}
-
-void FailoverService::removeRetired() {
-  auto now = base::BootClock::now();
-  const auto &nodes = Cluster->view().Nodes;
-  for (const auto &[name, it] : nodes) {
-    if (!it.Value.Retired) {
-      RetiredSeen.erase(name);
-      continue;
-    }
-    auto [seen, added] = RetiredSeen.emplace(name, now);
-    // By then the node's view can no longer be confirmed, not even by others
-    // that are cut off together with it.
-    constexpr auto Limit =
-        cluster::OfflineLimit + cluster::PrimaryLease + cluster::LeaseMargin;
-    if (added || now - seen->second < Limit)
-      continue;
-    seen->second = now;
-    Cluster->change({{nodeKey(name), {}, it.Revision, true}},
-                    [this, node = name](const store::StoreReply &reply) {
-                      Log.line("node_removed")
-                          .add("node", node)
-                          .add("result", store::storeStatusName(reply.Status));
-                    });
-    return;
-  }
-}
-
 } // namespace baobabpin::control
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -82,9 +82,6 @@
   void awaitLead(const MovePtr &move);
   void finish(const MovePtr &move);
   void logMove(const MovePtr &move, std::string_view stage);
-  void checkSuccessor();
-  void retire(const std::string &node);
-  void removeRetired();
 
   ServerAccess Access;
   kernel::LineLog &Log;
@@ -94,13 +91,9 @@
   ClusterService *Cluster = nullptr;
   std::map<base::GroupName, GroupWatch> Watches;
   std::map<base::GroupName, MovePtr> Moves;
-  std::map<std::string, base::BootTime> RetiredSeen;
-  std::string Successor;
-  int SuccessorMisses = 0;
   bool Writing = false;
   base::BootTime StartedAt{};
   kernel::Timer Ticker;
-  kernel::Timer SuccessorTicker;
 };
 
 } // namespace baobabpin::control
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -77,6 +77,14 @@
 
 void StatementRun::cancel() {
   OnDone = nullptr;
+  stopWaiting();
+  if (Link && Committing)
+    waitForCommit();
+  else
+    releaseLink();
+}
+
+void StatementRun::stopWaiting() {
   DeadlineTimer.cancel();
   SlowTimer.cancel();
   RetryTimer.cancel();
@@ -84,10 +92,6 @@
   if (Waiter)
     Pool->cancel(Waiter);
   Waiter.reset();
-  if (Link && Committing)
-    waitForCommit();
-  else
-    releaseLink();
 }
 
 void StatementRun::waitForCommit() {
@@ -487,26 +491,6 @@
   finish(std::move(result), "ok");
 }
 
-std::string_view retryCauseName(RetryCause cause) {
-  switch (cause) {
-  case RetryCause::ServerRefused:
-    return "server_refused";
-  case RetryCause::SetupRefused:
-    return "setup_refused";
-  case RetryCause::ServerUnreachable:
-    return "server_unreachable";
-  case RetryCause::ConnectionLost:
-    return "connection_lost";
-  case RetryCause::ReplyLost:
-    return "reply_lost";
-  case RetryCause::SlowReply:
-    return "slow_reply";
-  case RetryCause::OwnerRefused:
-    break;
-  }
-  return "owner_refused";
-}
-
 void StatementRun::retryElsewhere(ErrorCode code, RetryCause cause) {
   SlowTimer.cancel();
   std::string server = Pool->server().Id;
@@ -560,13 +544,6 @@
     Group->releaseClean(Pool, link);
 }
 
-void rollBack(GroupProxy &group, const PinnedTransaction &transaction) {
-  if (transaction.Channel)
-    transaction.Channel->release(transaction.Token);
-  else if (transaction.Link)
-    group.releaseClean(transaction.Pool, transaction.Link);
-}
-
 void StatementRun::finish(ErrorCode code, std::string_view reason) {
   RunResult result;
   result.Reply.Error = code;
@@ -580,13 +557,7 @@
     return;
   auto self = shared_from_this();
   auto now = base::BootClock::now();
-  DeadlineTimer.cancel();
-  SlowTimer.cancel();
-  RetryTimer.cancel();
-  Resume.reset();
-  if (Waiter)
-    Pool->cancel(Waiter);
-  Waiter.reset();
+  stopWaiting();
   Log.line("statement")
       .add("id", Request.Id)
       .add("database", Request.Route.Database)
--- a/baobabpin/node/PlatformNode.cpp
+++ b/baobabpin/node/PlatformNode.cpp
@@ -1,5 +1,6 @@
 #include "baobabpin/node/PlatformNode.h"
 
+#include "baobabpin/control/NodeRetirement.h"
 #include "baobabpin/frontend/FrontendService.h"
 
 #include <csignal>
@@ -31,6 +32,7 @@
   kernel.add(std::move(cluster));
   kernel.add(std::move(frontend));
   kernel.add(std::move(failover));
+  kernel.add(std::make_unique<control::NodeRetirement>(log));
 }
 
 int runPlatformNode(const platform::HostSettings &settings) {
