Do not bring back commits that a promotion cut off

Right after a zone cut healed, the only replica that answered, at 1.546, was promoted (40.1 s). Evidence that peers had given about the earlier primary then led to a second move before the new one's first commit (40.8 s), and the server that had led before, still at 1.628, had received most. Ruled out: a position that was too young (the samples are timed by the request); a read at an old primary. Change: the record keeps the end of the log with which its primary began; a server with later entries of an earlier term is chosen last. Evidence counts only for the record that it was asked for.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -12,8 +12,14 @@
 using nlohmann::json;
 
 json toJson(const GroupRecord &it) {
-  return {{"epoch", it.Epoch},   {"primary", it.Primary}, {"term", it.Term},
-          {"moving", it.Moving}, {"mover", it.Mover},     {"token", it.Token}};
+  return {{"epoch", it.Epoch},
+          {"primary", it.Primary},
+          {"term", it.Term},
+          {"base_term", it.Base.Term},
+          {"base_index", it.Base.Index},
+          {"moving", it.Moving},
+          {"mover", it.Mover},
+          {"token", it.Token}};
 }
 
 json toJson(const NodeRecord &it) {
@@ -33,6 +39,8 @@
   return {.Epoch = it.at("epoch").get<std::uint64_t>(),
           .Primary = it.at("primary").get<std::string>(),
           .Term = it.at("term").get<base::TermNumber>(),
+          .Base = {it.at("base_term").get<base::TermNumber>(),
+                   it.at("base_index").get<base::LogIndex>()},
           .Moving = it.at("moving").get<bool>(),
           .Mover = it.at("mover").get<std::string>(),
           .Token = it.at("token").get<std::uint64_t>()};
--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -79,11 +79,14 @@
 }
 
 std::optional<Candidate> choosePrimary(const std::vector<Candidate> &candidates,
-                                       base::TermNumber recordTerm) {
+                                       base::TermNumber recordTerm,
+                                       base::LogPosition recordBase) {
   auto rank = [&](const Candidate &it) {
     bool leads = !it.Present && isLeading(it.Status, recordTerm, false);
-    return std::tuple(leads, leads ? it.Status.Term : 0, !it.Leaving,
-                      !it.Present, it.Status.Received);
+    bool divergent =
+        it.Status.Received.Term < recordTerm && it.Status.Received > recordBase;
+    return std::tuple(leads, leads ? it.Status.Term : 0, !divergent,
+                      !it.Leaving, !it.Present, it.Status.Received);
   };
   auto best = std::ranges::max_element(candidates, {}, rank);
   return best == candidates.end() ? std::nullopt : std::optional(*best);
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -7,6 +7,7 @@
 #include "baobabpin/sql/Statement.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -56,6 +57,8 @@
   std::size_t PeersAsked = 0;
   /// Present holder of the duty, by node name.
   std::string DutyHolder;
+  /// Revision of the group's record when the peers were asked.
+  std::uint64_t RecordRevision = 0;
   /// The group is already being moved, by a node that seems stuck.
   bool TakeOver = false;
 };
@@ -84,8 +87,14 @@
 /// \p recordTerm is the term of the primary that is replaced: a server that
 /// leads a later one was promoted by an earlier attempt of the same move. A
 /// server that claims to lead an earlier term has missed a promotion.
+///
+/// \p recordBase is the end of the log with which that primary began to lead. A
+/// server with later entries of an earlier term still holds commits that the
+/// promotion cut off; reads have been served without them, so they must not
+/// come back.
 std::optional<Candidate> choosePrimary(const std::vector<Candidate> &candidates,
-                                       base::TermNumber recordTerm);
+                                       base::TermNumber recordTerm,
+                                       base::LogPosition recordBase);
 
 /// Whether the promoted server leads already, given its report. A server that
 /// missed an earlier promotion reports to be primary of an old term until the
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -91,31 +91,48 @@
   SUBCASE("has received most") {
     auto it = choosePrimary({candidate("a", Replica, 3, {3, 8}),
                              candidate("b", Replica, 3, {3, 9})},
-                            3);
+                            3, {});
     CHECK(it->Server == "b");
   }
   SUBCASE("is not leaving, if there is another") {
     auto leaving = candidate("b", Replica, 3, {3, 9});
     leaving.Leaving = true;
-    CHECK(choosePrimary({candidate("a", Replica, 3, {3, 8}), leaving}, 3)
+    CHECK(choosePrimary({candidate("a", Replica, 3, {3, 8}), leaving}, 3, {})
               ->Server == "a");
-    CHECK(choosePrimary({leaving}, 3)->Server == "b");
+    CHECK(choosePrimary({leaving}, 3, {})->Server == "b");
   }
   SUBCASE("is the one that an earlier attempt promoted") {
     auto it = choosePrimary({candidate("a", Replica, 3, {3, 9}),
                              candidate("b", Primary, 4, {3, 8})},
-                            3);
+                            3, {});
     CHECK(it->Server == "b");
   }
   SUBCASE("is not chosen for claiming an old term") {
     // A server that could not be told to step down missed a promotion.
     auto it = choosePrimary({candidate("a", Replica, 5, {5, 9}),
                              candidate("b", Primary, 4, {4, 30})},
-                            5);
+                            5, {});
     CHECK(it->Server == "a");
   }
 }
 
+TEST_CASE("a log that an earlier promotion cut off is not brought back") {
+  using enum sql::ServerRole;
+  // lkp-transcribe hunt-1204-39: a replica at 1.546 was promoted, and moved
+  // again before its first commit. The server that had led before still
+  // held 1.628; reads of the new term had been served without those commits.
+  auto present = candidate("b", Replica, 2, {1, 546});
+  present.Present = true;
+  auto old = candidate("a", Replica, 2, {1, 628});
+  base::LogPosition kept{1, 546};
+  CHECK(choosePrimary({old, present}, 2, kept)->Server == "b");
+  auto rolledBack = candidate("a", Replica, 2, {1, 546});
+  CHECK(choosePrimary({rolledBack, present}, 2, kept)->Server == "a");
+  // Entries of the present term are ahead, not cut off.
+  auto ahead = candidate("a", Replica, 2, {2, 550});
+  CHECK(choosePrimary({ahead, present}, 2, kept)->Server == "a");
+}
+
 TEST_CASE("a promoted server leads only in a later term") {
   // bukhan-pin trouble-1: a server that was replaced while unreachable, and is
   // promoted again, reports to be primary of its old term until the new begins;
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -74,6 +74,8 @@
   /// The term in which Primary began to lead; 0 for a group's first primary,
   /// whose term nobody had to know.
   base::TermNumber Term = 0;
+  /// The end of Primary's log when it began to lead.
+  base::LogPosition Base;
   /// A move to another primary is under way; nobody may use Primary.
   bool Moving = false;
   /// Who moves it: "node/incarnation".
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -64,6 +64,8 @@
   std::vector<cluster::Candidate> Candidates;
   std::size_t QueriesOutstanding = 0;
   base::ServerId Target;
+  /// The end of Target's log before its promotion.
+  base::LogPosition Base;
   /// The term that Target leads.
   base::TermNumber NewTerm = 0;
   std::set<base::ServerId> Refused;
@@ -169,6 +171,7 @@
   auto question = std::make_shared<cluster::MoveQuestion>();
   question->Self = Cluster->self().Node;
   question->TakeOver = takeOver;
+  question->RecordRevision = Cluster->view().Groups.at(group).Revision;
   auto peers = Cluster->somePeers();
   question->PeersAsked = peers.size();
   auto outstanding = std::make_shared<std::size_t>(peers.size());
@@ -197,6 +200,11 @@
 void FailoverService::onEvidence(const base::GroupName &group,
                                  const cluster::MoveQuestion &asked) {
   Watches[group].Polling = false;
+  // What peers said of an earlier primary says nothing about the present one.
+  auto record = Cluster->view().Groups.find(group);
+  if (record == Cluster->view().Groups.end() ||
+      record->second.Revision != asked.RecordRevision)
+    return;
   cluster::MoveQuestion question = asked;
   question.Own = Access.Observe(group);
   question.SelfStoreReachable = Cluster->isStoreReachable();
@@ -418,7 +426,8 @@
 
 void FailoverService::choose(const MovePtr &move) {
   move->Refused.clear();
-  auto best = cluster::choosePrimary(move->Candidates, move->Record.Term);
+  auto best = cluster::choosePrimary(move->Candidates, move->Record.Term,
+                                     move->Record.Base);
   if (!best) {
     later(move, StepRetry, &FailoverService::stepDown);
     return;
@@ -431,6 +440,7 @@
     return;
   }
   move->Target = best->Server;
+  move->Base = best->Status.Received;
   Log.line("move_candidate")
       .add("group", move->Group)
       .add("server", best->Server)
@@ -504,6 +514,7 @@
   ++record.Epoch;
   record.Primary = move->Target;
   record.Term = move->NewTerm;
+  record.Base = move->Base;
   record.Moving = false;
   record.Mover.clear();
   auto revision = Cluster->view().Groups.at(move->Group).Revision;
