Remove two accessors and an include that nothing uses

Found in reading the whole change: Session::isInTransaction and isBusy have no caller, LineLog.cpp needs no vectored writes.

--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -50,8 +50,6 @@
   void abortTransaction(std::string_view reason);
   /// Answers an outstanding request and closes.
   void shutDown();
-  bool isInTransaction() const { return Transaction.has_value(); }
-  bool isBusy() const { return Run != nullptr; }
 
 private:
   /// An operation between BEGIN and its end.
--- a/baobabpin/kernel/LineLog.cpp
+++ b/baobabpin/kernel/LineLog.cpp
@@ -1,7 +1,6 @@
 #include "baobabpin/kernel/LineLog.h"
 
 #include <fcntl.h>
-#include <sys/uio.h>
 #include <unistd.h>
 
 #include <cstdio>
