Plan who reads, who asks and who watches in a large fleet

Cause: on the grown sites (76 and 91 nodes of 0.12 core) one node could not answer 75 others every 400 ms; views ran out, and all nodes probed, suspected and moved every primary. A mover sent the whole view (15 KB) to 75 peers.

Change: cluster/FleetPlan picks the two strongest nodes of a zone (one for 24 nodes) as watchers; they ask the store reader every 200 ms, the rest of the zone asks them every 350 ms. Only watchers and owners probe primaries and start moves. Small fleets stay as they were. A mover sends only the group's record. A new group's record is created by the store reader, by others after 1.5 s. Owners of connections are more often strong nodes. The check of a successor no longer brings its whole configuration back.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -28,6 +28,7 @@
           {"peer", http::formatEndpoint(it.Peer)},
           {"relay", http::formatEndpoint(it.Relay)},
           {"zone", it.Zone},
+          {"capacity", it.Capacity},
           {"retired", it.Retired}};
 }
 
@@ -52,6 +53,7 @@
           .Peer = http::parseEndpoint(it.at("peer").get<std::string>()),
           .Relay = http::parseEndpoint(it.at("relay").get<std::string>()),
           .Zone = it.at("zone").get<std::string>(),
+          .Capacity = it.at("capacity").get<int>(),
           .Retired = it.at("retired").get<bool>()};
 }
 
@@ -111,6 +113,23 @@
   return records;
 }
 
+template <typename T>
+bool keepNewer(Versioned<T> &record, const Versioned<T> &other) {
+  if (other.Revision <= record.Revision)
+    return false;
+  record = other;
+  return true;
+}
+
+/// Takes over what \p other knows in a newer revision of groups and duty, which
+/// are never removed.
+bool keepNewerRecords(ClusterView &view, const ClusterView &other) {
+  bool changed = keepNewer(view.Duty, other.Duty);
+  for (const auto &[group, it] : other.Groups)
+    changed |= keepNewer(view.Groups[group], it);
+  return changed;
+}
+
 json contentsOf(const ClusterView &view) {
   return {{"groups", recordsToJson(view.Groups)},
           {"nodes", recordsToJson(view.Nodes)},
@@ -185,12 +204,26 @@
   auto storeSeen = std::max(view.StoreSeenAt, other.StoreSeenAt);
   bool changed = other.Revision > view.Revision;
   if (changed)
-    view = std::move(other);
+    std::swap(view, other);
+  changed |= keepNewerRecords(view, other);
   view.ValidatedAt = validated;
   view.StoreSeenAt = storeSeen;
   return changed;
 }
 
+std::string encodeGroupChange(const ClusterView &view,
+                              const base::GroupName &group) {
+  ClusterView part;
+  if (auto it = view.Groups.find(group); it != view.Groups.end())
+    part.Groups.insert(*it);
+  part.Duty = view.Duty;
+  return encodeView(part);
+}
+
+bool applyGroupChange(ClusterView &view, const std::string &text) {
+  return keepNewerRecords(view, decodeView(text));
+}
+
 std::string formatIdentity(const NodeIdentity &it) {
   return it.Node + "/" + std::to_string(it.Incarnation);
 }
--- a/baobabpin/cluster/ClusterView.h
+++ b/baobabpin/cluster/ClusterView.h
@@ -84,10 +84,20 @@
 /// Revision 0 when \p text is no view. ValidatedAt is left unset.
 ClusterView decodeView(const std::string &text);
 
-/// Adopts \p other if it is newer, and the later of both validation times.
-/// Returns whether the contents changed.
+/// Adopts \p other if it is not older, and the later of both validation times.
+/// Records of groups and of the duty that \p view holds in a newer revision stay
+/// (see applyGroupChange). Returns whether the contents may have changed.
 bool mergeView(ClusterView &view, ClusterView other);
 
+/// The records of one group and of the duty as JSON: what a mover tells all
+/// nodes, in a few hundred bytes whatever the size of the fleet.
+std::string encodeGroupChange(const ClusterView &view,
+                              const base::GroupName &group);
+/// Adopts the records that are newer than the view's own. The view's revision
+/// stays, because of other records nothing newer is known. Returns whether
+/// something changed; a text that cannot be read changes nothing.
+bool applyGroupChange(ClusterView &view, const std::string &text);
+
 /// Who asks to use a primary.
 struct NodeIdentity {
   std::string Node;
--- a/baobabpin/cluster/ConnectionPlan.cpp
+++ b/baobabpin/cluster/ConnectionPlan.cpp
@@ -3,21 +3,34 @@
 #include "baobabpin/base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace baobabpin::cluster {
 
+namespace {
+
+/// Weighted rendezvous hashing: the chance to be first grows with the capacity,
+/// and a node that joins or leaves changes nothing between the others.
+double ownerScore(const ServerRegistration &server, const NodePlace &node) {
+  constexpr double HashRange = 18446744073709551616.0; // 2^64
+  auto hash = static_cast<double>(base::hash64(server.Id + "|" + node.Name));
+  return -std::log1p(-hash / HashRange) / std::max(node.Capacity, 1);
+}
+
+} // namespace
+
 bool isDirect(int serverLimit, int nodes) {
   return serverLimit >= DirectConnectionsPerNode * nodes;
 }
 
 std::vector<std::string> rankOwners(const ServerRegistration &server,
                                     const std::vector<NodePlace> &nodes) {
-  std::vector<std::tuple<bool, std::uint64_t, std::string>> ranked;
+  std::vector<std::tuple<bool, double, std::string>> ranked;
   ranked.reserve(nodes.size());
   for (const auto &it : nodes)
-    ranked.emplace_back(it.Zone != server.Zone,
-                        base::hash64(server.Id + "|" + it.Name), it.Name);
+    ranked.emplace_back(it.Zone != server.Zone, ownerScore(server, it),
+                        it.Name);
   std::ranges::sort(ranked);
   std::vector<std::string> owners;
   for (const auto &it : ranked) {
--- a/baobabpin/cluster/ConnectionPlan.h
+++ b/baobabpin/cluster/ConnectionPlan.h
@@ -22,13 +22,10 @@
 /// \p nodes includes this node.
 bool isDirect(int serverLimit, int nodes);
 
-struct NodePlace {
-  std::string Name;
-  base::AvailabilityZone Zone;
-};
-
-/// The nodes that may own the server's connections, best first. Every node with
-/// the same list of nodes comes to the same result.
+/// The nodes that may own the server's connections, best first: nodes of the
+/// server's zone, more often the stronger ones, because an owner carries all
+/// work of its server. Every node with the same list of nodes comes to the same
+/// result.
 std::vector<std::string> rankOwners(const ServerRegistration &server,
                                     const std::vector<NodePlace> &nodes);
 
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -97,6 +97,8 @@
   /// Where the node accepts statements for servers whose connections it owns.
   http::Endpoint Relay;
   base::AvailabilityZone Zone;
+  /// Processor share of the host, in thousandths of a core.
+  int Capacity = 0;
   /// Set by another node that could not reach this one. A node that finds
   /// itself retired registers anew before it uses a primary again.
   bool Retired = false;
@@ -104,6 +106,14 @@
   bool operator==(const NodeRecord &) const = default;
 };
 
+/// Where a node runs, and how strong its host is.
+struct NodePlace {
+  std::string Name;
+  base::AvailabilityZone Zone;
+  /// As in NodeRecord.
+  int Capacity = 0;
+};
+
 /// The present holder of the promotion duty and the last fencing token.
 struct DutyRecord {
   std::string Holder;
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -21,21 +21,24 @@
 /// A configuration must be in force 3 s after its acknowledgement.
 constexpr milliseconds ConfigRenewAge{700};
 constexpr milliseconds ConfigFallbackAge{1600};
-/// Between two rounds of asking all peers.
+/// In a large fleet a record passes one node more.
+constexpr milliseconds LargeFallbackAge{1200};
+/// Between two rounds of asking peers.
 constexpr milliseconds SyncPeriod{350};
+/// A watcher of a large fleet asks more often, so that the nodes that learn
+/// from it are not much behind.
+constexpr milliseconds WatcherSyncPeriod{200};
 constexpr milliseconds SyncTimeout{300};
+/// A node whose sources have been silent for this long watches by itself.
+constexpr milliseconds WatchAloneAfter{2500};
 /// The store puts lapsed entries back within two seconds of an outage.
 constexpr milliseconds GoneDelay{2500};
 /// A change whose reply was lost may take effect this much later.
 constexpr milliseconds LateChangeLimit{6500};
 constexpr milliseconds StoreReachableAge{2000};
-/// Up to this many nodes, each asks all others.
-constexpr std::size_t FullMeshLimit = 16;
-/// In a larger fleet, a node asks this many at a time.
-constexpr std::size_t SampleSize = 6;
-/// In a larger fleet, so many nodes confirm the view by asking all others; the
-/// rest learns from them.
-constexpr std::size_t ConfirmingNodes = 2;
+/// In a large fleet, a node that looks for a fresher view asks so many beside
+/// its sources.
+constexpr std::size_t SampleSize = 3;
 
 } // namespace
 
@@ -56,6 +59,7 @@
       std::chrono::system_clock::now().time_since_epoch());
   Self = {Settings.Node, static_cast<std::uint64_t>(ms.count())};
   Random.seed(std::random_device{}());
+  replan();
 }
 
 ClusterService::~ClusterService() = default;
@@ -94,7 +98,7 @@
                      onConfiguration(entries, sentAt);
                    },
                    onAvailability("configuration")});
-  readStore(base::BootClock::now(), true);
+  readStore(base::BootClock::now());
   Ticker = loop.runEvery(TickPeriod, [this] { tick(); });
   return {};
 }
@@ -151,21 +155,44 @@
   return list;
 }
 
-std::vector<PeerNode> ClusterService::somePeers() {
-  auto all = peers();
-  if (all.size() < FullMeshLimit)
-    return all;
-  std::vector<PeerNode> some;
-  std::ranges::sample(all, std::back_inserter(some), SampleSize, Random);
-  return some;
+std::vector<PeerNode>
+ClusterService::peersNamed(const std::vector<std::string> &names) const {
+  std::vector<PeerNode> list;
+  for (const auto &name : names) {
+    auto it = View.Nodes.find(name);
+    if (name != Self.Node && it != View.Nodes.end())
+      list.push_back({name, it->second.Value.Peer});
+  }
+  return list;
+}
+
+std::vector<PeerNode> ClusterService::watchers() const {
+  return peersNamed(Plan.Watchers);
+}
+
+bool ClusterService::isWatching() const {
+  return Plan.Watches ||
+         base::BootClock::now() - SourceHeardAt > WatchAloneAfter;
+}
+
+bool ClusterService::isStoreReader() const {
+  return Plan.Watchers.front() == Self.Node;
 }
 
-bool ClusterService::mayAskAll() const {
-  if (View.Nodes.size() <= FullMeshLimit)
-    return true;
-  auto end = std::next(View.Nodes.begin(), ConfirmingNodes);
-  return std::any_of(View.Nodes.begin(), end,
-                     [&](const auto &it) { return it.first == Self.Node; });
+std::vector<cluster::NodePlace> ClusterService::places() const {
+  std::vector<cluster::NodePlace> nodes{
+      {Self.Node, Settings.Zone, Settings.Capacity}};
+  for (const auto &[name, it] : View.Nodes) {
+    if (name != Self.Node && !it.Value.Retired)
+      nodes.push_back({name, it.Value.Zone, it.Value.Capacity});
+  }
+  return nodes;
+}
+
+void ClusterService::replan() {
+  auto nodes = places();
+  auto self = nodes.front();
+  Plan = cluster::planFleet(std::move(nodes), self);
 }
 
 void ClusterService::onOwnRecords(const std::vector<store::StoreEntry> &entries,
@@ -187,11 +214,25 @@
 void ClusterService::adoptView(cluster::ClusterView view,
                                std::string_view source) {
   auto before = View.Groups;
-  if (!cluster::mergeView(View, std::move(view)))
-    return;
+  if (cluster::mergeView(View, std::move(view)))
+    afterViewChange(before, source);
+}
+
+void ClusterService::adoptChange(const std::string &change,
+                                 std::string_view source) {
+  auto before = View.Groups;
+  if (cluster::applyGroupChange(View, change))
+    afterViewChange(before, source);
+}
+
+void ClusterService::afterViewChange(
+    const std::map<base::GroupName, cluster::Versioned<cluster::GroupRecord>>
+        &before,
+    std::string_view source) {
   auto digest = cluster::digestOf(View);
   if (std::exchange(ViewDigest, digest) == digest)
     return;
+  replan();
   for (const auto &[group, it] : View.Groups) {
     auto old = before.find(group);
     if (old != before.end() && old->second.Value == it.Value)
@@ -311,8 +352,12 @@
   Registering = true;
   std::uint64_t added =
       it == View.Nodes.end() ? Self.Incarnation : it->second.Value.AddedMs;
-  cluster::NodeRecord record{Self.Incarnation, added,         Settings.Peers,
-                             Settings.Relay,   Settings.Zone, false};
+  cluster::NodeRecord record{.Incarnation = Self.Incarnation,
+                             .AddedMs = added,
+                             .Peer = Settings.Peers,
+                             .Relay = Settings.Relay,
+                             .Zone = Settings.Zone,
+                             .Capacity = Settings.Capacity};
   std::uint64_t revision = it == View.Nodes.end() ? 0 : it->second.Revision;
   change({{std::string(platform::OwnPrefix) + cluster::NodeKeyPart + Self.Node,
            cluster::encodeRecord(record), revision, false}},
@@ -362,34 +407,35 @@
 
 void ClusterService::wantPositions() { PositionsWanted = true; }
 
-std::string ClusterService::readerNode() const {
-  for (const auto &[name, it] : View.Nodes) {
-    if (!it.Value.Retired)
-      return name;
-  }
-  return Self.Node;
-}
-
 void ClusterService::tick() {
   auto now = base::BootClock::now();
-  auto age = now - View.ValidatedAt;
-  bool reader = readerNode() == Self.Node;
-  readStore(now, reader);
+  readStore(now);
   // Without the store, the next round begins before the last one's result is
   // old: a node that does not answer makes a round last for SyncTimeout.
   bool offline = now - View.StoreSeenAt > FallbackAge;
   bool everyone = offline || !Config || PositionsWanted;
-  bool due = everyone ? now - LastSync > SyncPeriod : age > RenewAge && !reader;
+  bool due = everyone ? now - LastWideSync > SyncPeriod : isUsualSyncDue(now);
   if (due && !SyncRunning)
     syncWith(syncTargets(everyone), everyone);
 }
 
-void ClusterService::readStore(base::BootTime now, bool asReader) {
+bool ClusterService::isUsualSyncDue(base::BootTime now) const {
+  if (Plan.Sources.empty())
+    return false;
+  // The view of a large fleet's node is never young; it asks at intervals.
+  if (Plan.Large)
+    return now - LastSync > (Plan.Watches ? WatcherSyncPeriod : SyncPeriod);
+  return now - View.ValidatedAt > RenewAge;
+}
+
+void ClusterService::readStore(base::BootTime now) {
   auto older = [&](base::BootTime since, milliseconds renew,
                    milliseconds fallback) {
-    return now - since > (asReader ? renew : fallback);
+    return now - since > (Plan.ReadsStore ? renew : fallback);
   };
-  if (older(View.StoreSeenAt, RenewAge, FallbackAge))
+  bool passesOneMore = Plan.Large && !Plan.Watches;
+  if (older(View.StoreSeenAt, RenewAge,
+            passesOneMore ? LargeFallbackAge : FallbackAge))
     RecordsReader->read();
   if (older(ServersConfirmedAt, ServersRenewAge, ServersFallbackAge))
     ServersReader->read();
@@ -398,14 +444,15 @@
 }
 
 std::vector<PeerNode> ClusterService::syncTargets(bool everyone) {
-  auto targets = peers();
-  if (!everyone) {
-    std::erase_if(targets, [reader = readerNode()](const PeerNode &it) {
-      return it.Name != reader;
-    });
-  } else if (!mayAskAll()) {
-    targets = somePeers();
-  }
+  std::vector<PeerNode> targets;
+  if (!everyone)
+    targets = peersNamed({Plan.Sources.front()});
+  else if (Plan.isConfirming(Self.Node))
+    targets = peers();
+  else if (Plan.Watches)
+    targets = watchers();
+  else
+    targets = sampleTargets();
   if (!targets.empty())
     return targets;
   // Without a list of nodes, the settings name a few.
@@ -416,6 +463,18 @@
   return targets;
 }
 
+std::vector<PeerNode> ClusterService::sampleTargets() {
+  std::vector<std::string> names = Plan.Sources;
+  std::ranges::sample(Plan.Watchers, std::back_inserter(names), SampleSize,
+                      Random);
+  std::ranges::sort(names);
+  auto repeated = std::ranges::unique(names);
+  names.erase(repeated.begin(), repeated.end());
+  auto targets = peersNamed(names);
+  std::ranges::sample(peers(), std::back_inserter(targets), 1, Random);
+  return targets;
+}
+
 void ClusterService::syncWith(const std::vector<PeerNode> &targets,
                               bool everyone) {
   if (targets.empty())
@@ -424,17 +483,13 @@
   round->SentAt = base::BootClock::now();
   round->Outstanding = targets.size();
   round->Outdated = !everyone || View.Nodes.empty();
+  LastSync = round->SentAt;
   if (everyone) {
-    LastSync = round->SentAt;
+    LastWideSync = round->SentAt;
     PositionsWanted = false;
   }
   SyncRunning = true;
-  std::string body = encode(SyncRequest{Self.Node,
-                                        View.Revision,
-                                        ViewDigest,
-                                        ServersDigest,
-                                        Config ? Config->Version : 0,
-                                        {}});
+  std::string body = encode(syncRequest());
   for (const auto &it : targets) {
     Caller->call(it.Endpoint, SyncPath, body, SyncTimeout,
                  [this, round, peer = it.Name](const auto &reply) {
@@ -449,8 +504,11 @@
   auto reply = body ? decodeSyncReply(*body) : std::nullopt;
   if (reply && !reply->CannotConfirm)
     ++round->Confirmations;
-  if (reply)
+  if (reply) {
+    if (std::ranges::find(Plan.Sources, peer) != Plan.Sources.end())
+      SourceHeardAt = base::BootClock::now();
     adoptReply(*round, peer, *reply);
+  }
   confirmByQuorum(*round);
   if (--round->Outstanding == 0)
     SyncRunning = false;
@@ -491,10 +549,25 @@
   View.ValidatedAt = std::max(View.ValidatedAt, round.SentAt);
 }
 
-void ClusterService::pushView() {
-  std::string body = encode(
-      SyncRequest{Self.Node, View.Revision, ViewDigest, ServersDigest,
-                  Config ? Config->Version : 0, cluster::encodeView(View)});
+SyncRequest ClusterService::syncRequest() const {
+  return {.Node = Self.Node,
+          .ViewRevision = View.Revision,
+          .ViewDigest = ViewDigest,
+          .ServersDigest = ServersDigest,
+          .ConfigVersion = Config ? Config->Version : 0};
+}
+
+std::string ClusterService::pingBody() const {
+  auto request = syncRequest();
+  request.ViewRevision = ~std::uint64_t{0};
+  request.ConfigVersion = ~std::uint64_t{0};
+  return encode(request);
+}
+
+void ClusterService::pushGroup(const base::GroupName &group) {
+  auto request = syncRequest();
+  request.Change = cluster::encodeGroupChange(View, group);
+  std::string body = encode(request);
   for (const auto &it : peers())
     Caller->call(it.Endpoint, SyncPath, body, SyncTimeout, [](const auto &) {});
 }
@@ -521,9 +594,9 @@
     responder->json(400, "{}");
     return;
   }
-  // A pushed view says nothing about its age, so it does not extend the lease.
-  if (!request->View.empty())
-    adoptView(cluster::decodeView(request->View), request->Node);
+  // A pushed record says nothing about its age, so it does not extend the lease.
+  if (!request->Change.empty())
+    adoptChange(request->Change, request->Node);
   SyncReply reply;
   reply.ViewRevision = View.Revision;
   if (View.Revision >= request->ViewRevision &&
@@ -558,8 +631,8 @@
     return;
   }
   revoke(request->Group, request->Epoch);
-  if (!request->View.empty())
-    adoptView(cluster::decodeView(request->View), "revoke");
+  if (!request->Change.empty())
+    adoptChange(request->Change, "revoke");
   Hooks.DrainPrimary(request->Group,
                      [responder] { responder->json(200, "{}"); });
 }
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -1,14 +1,16 @@
 /// What this node shares with the others: the records in the store, the
 /// configuration, the servers' registrations, and the calls of peers.
 ///
-/// One node, the reader, reads the store for all; the others ask it, because a
-/// call to a peer costs far less than one to the store. A node whose view grows
-/// old reads the store itself and asks all peers: any of them with a fresher
-/// view relays it. When no peer reaches the store either, a quorum of them
-/// confirms the view (cluster/ClusterView.h).
+/// One node reads the store for all; the others ask it, in a large fleet through
+/// the watchers of their zone (cluster/FleetPlan.h), because a call to a peer
+/// costs far less than one to the store. A node whose view grows old reads the
+/// store itself and asks more peers: any of them with a fresher view relays it.
+/// When no peer reaches the store either, a quorum of them confirms the view
+/// (cluster/ClusterView.h).
 #pragma once
 
 #include "baobabpin/cluster/ClusterView.h"
+#include "baobabpin/cluster/FleetPlan.h"
 #include "baobabpin/control/PeerCalls.h"
 #include "baobabpin/control/PrefixReader.h"
 #include "baobabpin/http/HttpServer.h"
@@ -81,10 +83,19 @@
   bool isStoreReachable() const;
   /// Registered nodes but this one.
   std::vector<PeerNode> peers() const;
-  /// As peers(), but in a large fleet a random few: what one node asks all
-  /// others in the same moment as all nodes do grows with the square of their
-  /// number.
-  std::vector<PeerNode> somePeers();
+  /// The nodes that watch the primaries, without this one.
+  std::vector<PeerNode> watchers() const;
+  /// Whether this node watches the primaries: it is a watcher, or has heard of
+  /// none for a while.
+  bool isWatching() const;
+  /// Whether this node is the one that reads the store for all.
+  bool isStoreReader() const;
+  const cluster::FleetPlan &plan() const { return Plan; }
+  /// Where the nodes in use run, this one included.
+  std::vector<cluster::NodePlace> places() const;
+  /// Asks a peer only whether it is there: whatever it knows, it has nothing
+  /// to tell.
+  std::string pingBody() const;
 
   /// Changes records; the outcome of a lost reply is Unknown. The view is read
   /// again afterwards.
@@ -92,8 +103,8 @@
               const store::StoreCallback &callback);
   /// Stops this node from using the primaries of the group up to \p epoch.
   void revoke(const base::GroupName &group, std::uint64_t epoch);
-  /// Sends this node's view to all peers.
-  void pushView();
+  /// Sends the records of the group to all peers.
+  void pushGroup(const base::GroupName &group);
   /// Asks peers for positions, at most every PeerPositionPeriod.
   void wantPositions();
   PeerCaller &caller() { return *Caller; }
@@ -119,13 +130,23 @@
   void ensureRegistered();
   bool isRegistered() const;
   void tick();
-  /// The node that reads the store for all.
-  std::string readerNode() const;
-  void readStore(base::BootTime now, bool asReader);
+  void replan();
+  void readStore(base::BootTime now);
+  bool isUsualSyncDue(base::BootTime now) const;
+  SyncRequest syncRequest() const;
   void syncWith(const std::vector<PeerNode> &targets, bool everyone);
+  /// \p everyone: more than this node's usual sources.
   std::vector<PeerNode> syncTargets(bool everyone);
-  /// Whether this node may confirm the view by asking all peers.
-  bool mayAskAll() const;
+  /// This node's sources, some other watchers and any other node.
+  std::vector<PeerNode> sampleTargets();
+  /// The endpoints of registered nodes among \p names, without this node.
+  std::vector<PeerNode> peersNamed(const std::vector<std::string> &names) const;
+  /// A reply or a push of a peer may bring newer records of a group.
+  void adoptChange(const std::string &change, std::string_view source);
+  void afterViewChange(
+      const std::map<base::GroupName, cluster::Versioned<cluster::GroupRecord>>
+          &before,
+      std::string_view source);
   void onSyncReply(const std::shared_ptr<SyncRound> &round,
                    const std::string &peer,
                    const std::optional<std::string> &body);
@@ -148,6 +169,9 @@
   std::vector<std::function<void()>> Listeners;
   cluster::ClusterView View;
   std::uint64_t ViewDigest = 0;
+  cluster::FleetPlan Plan;
+  /// When one of Plan.Sources last answered.
+  base::BootTime SourceHeardAt{};
   /// The registrations of the last snapshot, without those that are missing.
   std::vector<cluster::ServerRegistration> LastServers;
   std::uint64_t ServersDigest = 0;
@@ -160,6 +184,8 @@
   std::map<base::ServerId, base::BootTime> LeavingSince;
   base::BootTime StoreConfirmedAt{};
   base::BootTime LastSync{};
+  /// The last round that asked more than the usual sources.
+  base::BootTime LastWideSync{};
   bool PositionsWanted = false;
   bool SyncRunning = false;
   bool Registering = false;
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds PollPeriod{200};
 /// A node that has just started has no connections of its own yet.
 constexpr milliseconds SettlingTime{3000};
+/// A node that is not the store reader creates a missing record after this.
+constexpr milliseconds CreateAfter{1500};
 constexpr milliseconds EvidenceTimeout{150};
 constexpr milliseconds RevokeTimeout{500};
 constexpr milliseconds RevokeRetry{100};
@@ -115,12 +117,17 @@
   auto now = base::BootClock::now();
   const auto &groups = Cluster->view().Groups;
   auto it = groups.find(group);
+  GroupWatch &watch = Watches[group];
   if (it == groups.end()) {
-    if (Cluster->isStoreReachable())
+    // All nodes see a new group at the same time; one creates its record, the
+    // others only if that one does not.
+    auto [missing, first] = Missing.emplace(group, now);
+    if (Cluster->isStoreReachable() &&
+        (Cluster->isStoreReader() || now - missing->second > CreateAfter))
       createRecord(group);
     return;
   }
-  GroupWatch &watch = Watches[group];
+  Missing.erase(group);
   if (watch.RecordRevision != it->second.Revision) {
     watch.RecordRevision = it->second.Revision;
     watch.RecordSeen = now;
@@ -132,7 +139,7 @@
     bool done = !record.Moving;
     Moves.erase(move);
     if (done)
-      Cluster->pushView();
+      Cluster->pushGroup(group);
   }
   if (record.Moving &&
       record.Mover == cluster::formatIdentity(Cluster->self())) {
@@ -143,6 +150,8 @@
   bool takeOver = record.Moving && now - watch.RecordSeen > cluster::StuckAfter;
   bool suspect =
       settled && !record.Moving && cluster::isSuspect(Access.Observe(group));
+  if (!Cluster->isWatching())
+    return;
   bool due = takeOver || suspect || (watch.Asked && !record.Moving);
   if (!due || watch.Polling || now < watch.NextPoll)
     return;
@@ -172,7 +181,7 @@
   question->Self = Cluster->self().Node;
   question->TakeOver = takeOver;
   question->RecordRevision = Cluster->view().Groups.at(group).Revision;
-  auto peers = Cluster->somePeers();
+  auto peers = Cluster->watchers();
   question->PeersAsked = peers.size();
   auto outstanding = std::make_shared<std::size_t>(peers.size());
   EvidenceRequest request{group, takeOver ||
@@ -311,7 +320,8 @@
 
 void FailoverService::revokePeer(const MovePtr &move, const PeerNode &peer) {
   std::string body = encode(RevokeRequest{
-      move->Group, move->Record.Epoch, cluster::encodeView(Cluster->view())});
+      move->Group, move->Record.Epoch,
+      cluster::encodeGroupChange(Cluster->view(), move->Group)});
   Cluster->caller().call(peer.Endpoint, RevokePath, body, RevokeTimeout,
                          [this, weak = std::weak_ptr<Move>(move),
                           peer](const std::optional<std::string> &reply) {
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -90,6 +90,8 @@
   kernel::Kernel *Kernel = nullptr;
   ClusterService *Cluster = nullptr;
   std::map<base::GroupName, GroupWatch> Watches;
+  /// Groups without a record, since when.
+  std::map<base::GroupName, base::BootTime> Missing;
   std::map<base::GroupName, MovePtr> Moves;
   bool Writing = false;
   base::BootTime StartedAt{};
--- a/baobabpin/control/NodeRetirement.cpp
+++ b/baobabpin/control/NodeRetirement.cpp
@@ -50,9 +50,8 @@
   PeerNode peer = next == alive.end() ? alive.front() : *next;
   if (std::exchange(Successor, peer.Name) != peer.Name)
     SuccessorMisses = 0;
-  std::string body =
-      encode(SyncRequest{.Node = self, .ViewRevision = ~std::uint64_t{0}});
-  Cluster->caller().call(peer.Endpoint, SyncPath, body, SuccessorTimeout,
+  Cluster->caller().call(peer.Endpoint, SyncPath, Cluster->pingBody(),
+                         SuccessorTimeout,
                          [this, peer](const std::optional<std::string> &reply) {
                            if (reply || peer.Name != Successor) {
                              SuccessorMisses = 0;
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -65,7 +65,7 @@
               {"view_digest", it.ViewDigest},
               {"servers_digest", it.ServersDigest},
               {"config_version", it.ConfigVersion},
-              {"view", it.View}}
+              {"change", it.Change}}
       .dump();
 }
 
@@ -91,7 +91,7 @@
 }
 
 std::string encode(const RevokeRequest &it) {
-  return json{{"group", it.Group}, {"epoch", it.Epoch}, {"view", it.View}}
+  return json{{"group", it.Group}, {"epoch", it.Epoch}, {"change", it.Change}}
       .dump();
 }
 
@@ -121,7 +121,7 @@
                        it.at("view_digest").get<std::uint64_t>(),
                        it.at("servers_digest").get<std::uint64_t>(),
                        it.at("config_version").get<std::uint64_t>(),
-                       it.at("view").get<std::string>()};
+                       it.at("change").get<std::string>()};
   });
 }
 
@@ -151,7 +151,7 @@
   return decode(text, [](const json &it) {
     return RevokeRequest{it.at("group").get<std::string>(),
                          it.at("epoch").get<std::uint64_t>(),
-                         it.at("view").get<std::string>()};
+                         it.at("change").get<std::string>()};
   });
 }
 
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -29,8 +29,9 @@
   std::uint64_t ViewDigest = 0;
   std::uint64_t ServersDigest = 0;
   std::uint64_t ConfigVersion = 0;
-  /// The caller's own view, pushed when it has just changed; empty otherwise.
-  std::string View;
+  /// Records that the caller has just changed (cluster::encodeGroupChange);
+  /// empty otherwise.
+  std::string Change;
 };
 
 /// A primary's position and its age at the time of the reply.
@@ -63,7 +64,8 @@
 struct RevokeRequest {
   base::GroupName Group;
   std::uint64_t Epoch = 0;
-  std::string View;
+  /// The record that announces the move (cluster::encodeGroupChange).
+  std::string Change;
 };
 
 struct EvidenceRequest {
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -91,7 +91,7 @@
                        Kernel->metrics().render());
   });
   BOOST_LEAF_CHECK(Metrics->listen(Settings.Metrics));
-  ServerOwners = std::make_unique<Owners>(loop, Log, *Cluster, Settings.Zone);
+  ServerOwners = std::make_unique<Owners>(loop, Log, *Cluster);
   Relay = std::make_unique<RelayServer>(
       loop, Log, [this](const base::GroupName &name) { return group(name); });
   BOOST_LEAF_CHECK(Relay->listen(Settings.Relay));
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -14,6 +14,9 @@
 /// Several probes fit into SuspectAfter, and samples stay fine enough for every
 /// staleness.
 constexpr milliseconds ProbePeriod{200};
+/// A node that does not watch the primary learns positions from its sources,
+/// and asks the owner of the primary's connections only without them.
+constexpr milliseconds UnwatchedProbeAge{700};
 /// A probe needs no slot, so a healthy server replies in a few milliseconds.
 constexpr milliseconds ProbeTimeout{350};
 /// A guest that has not heard of the primary for this long connects to it.
@@ -176,23 +179,34 @@
   auto choice = primary();
   if (choice.Pool)
     probePrimary(choice, now);
-  bool fresh = !History.Samples.empty() &&
-               now - History.Samples.back().SentAt < 3 * ProbePeriod;
+  auto limit = probesOften() ? 3 * ProbePeriod : 3 * UnwatchedProbeAge / 2;
+  bool fresh =
+      !History.Samples.empty() && now - History.Samples.back().SentAt < limit;
   if (!fresh)
     Cluster.wantPositions();
 }
 
+bool GroupProxy::probesOften() const {
+  if (Cluster.isWatching())
+    return true;
+  auto choice = primary();
+  return choice.Pool &&
+         Routes.reach(choice.Pool->server()) != ServerReach::Guest;
+}
+
 void GroupProxy::probePrimary(const PrimaryChoice &choice, base::BootTime now) {
+  bool often = probesOften();
   bool recent = History.Epoch == choice.Epoch && !History.Samples.empty() &&
-                now - History.Samples.back().SentAt < ProbePeriod;
+                now - History.Samples.back().SentAt <
+                    (often ? ProbePeriod : UnwatchedProbeAge);
   if (recent)
     return;
   auto heard = observePrimary().HeardAge;
   bool silent = heard && *heard > DirectProbeAfter;
   // Whether the primary is gone, or its owner, shows only directly. Without any
   // position, the owner's probe goes before the reads that wait for it.
-  bool needed =
-      silent || (History.Samples.empty() && !channelFor(*choice.Pool));
+  bool needed = often && (silent || (History.Samples.empty() &&
+                                     !channelFor(*choice.Pool)));
   if (needed && !ProbeRunning && !ProbeWaiter && !choice.Pool->hasIdle()) {
     ProbeWaiter = std::make_shared<pooling::Waiter>();
     ProbeWaiter->Priority = -1;
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -81,6 +81,8 @@
   const base::GroupName &name() const { return Name; }
 
 private:
+  /// Whether this node asks the primary itself or its owner at short intervals.
+  bool probesOften() const;
   void probePrimary(const PrimaryChoice &choice, base::BootTime now);
   void probeDirectly(const PrimaryChoice &choice, const pooling::LinkPtr &link);
   void probeThroughOwner(const ChannelPtr &channel, std::uint64_t epoch);
--- a/baobabpin/frontend/Owners.cpp
+++ b/baobabpin/frontend/Owners.cpp
@@ -11,8 +11,8 @@
 } // namespace
 
 Owners::Owners(kernel::EventLoop &loop, kernel::LineLog &log,
-               control::ClusterService &cluster, base::AvailabilityZone zone)
-    : Loop(loop), Log(log), Cluster(cluster), Zone(std::move(zone)) {}
+               control::ClusterService &cluster)
+    : Loop(loop), Log(log), Cluster(cluster) {}
 
 void Owners::refresh() {
   Ranked.clear();
@@ -33,12 +33,7 @@
   auto [it, added] = Ranked.emplace(server.Id, std::vector<std::string>());
   if (!added)
     return it->second;
-  std::vector<cluster::NodePlace> nodes{{Cluster.self().Node, Zone}};
-  for (const auto &[name, node] : Cluster.view().Nodes) {
-    if (name != Cluster.self().Node && !node.Value.Retired)
-      nodes.push_back({name, node.Value.Zone});
-  }
-  it->second = cluster::rankOwners(server, nodes);
+  it->second = cluster::rankOwners(server, Cluster.places());
   return it->second;
 }
 
--- a/baobabpin/frontend/Owners.h
+++ b/baobabpin/frontend/Owners.h
@@ -24,7 +24,7 @@
 class Owners {
 public:
   Owners(kernel::EventLoop &loop, kernel::LineLog &log,
-         control::ClusterService &cluster, base::AvailabilityZone zone);
+         control::ClusterService &cluster);
 
   /// Forgets what was derived from the list of nodes.
   void refresh();
@@ -48,7 +48,6 @@
   kernel::EventLoop &Loop;
   kernel::LineLog &Log;
   control::ClusterService &Cluster;
-  base::AvailabilityZone Zone;
   std::map<base::ServerId, std::vector<std::string>> Ranked;
   std::map<std::string, Peer> Peers;
 };
