Refuse work that cannot be done in time, and pay for repeated reads

Reads without a reply after 250 ms were sent again, their first copies stayed in the owners' queues and ran for nobody, and every statement waited until its time limit. The group was not served for the next 30 s, and after the loss of power of all hosts no group was.

Ruled out: the servers (8 of 24 busy); the fleet's views (no node lost its lease before 34 s).

Change: admission/QueueWait estimates the wait from the pace of grants; work that would wait more than half of its time is refused at once (TOOMANY). Repeated reads take from a retry budget (a tenth of the statements, 3 at once). A node that gives up a relayed statement cancels it at the owner. In a large fleet only four owner candidates connect to a server; the others refuse or wait.

--- a/baobabpin/cluster/ClusterViewTest.cpp
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -126,5 +126,41 @@
   CHECK(decodeView("no view").Revision == 0);
 }
 
+TEST_CASE("a group's records travel alone") {
+  // A mover of 76 nodes sent its whole view, 15 KB, to each of the others.
+  ClusterView mover = makeView({"n1", 11});
+  ClusterView node = mover;
+  mover.Groups["g"] = {{.Epoch = 3, .Primary = "s1", .Moving = true}, 9};
+  mover.Duty = {{"n1", 5}, 9};
+  std::string change = encodeGroupChange(mover, "g");
+  CHECK(change.size() < 600);
+  REQUIRE(applyGroupChange(node, change));
+  CHECK(node.Groups["g"].Value.Moving);
+  CHECK(node.Duty.Value.Token == 5);
+
+  SUBCASE("and confirm nothing about the rest") {
+    CHECK(node.Revision == 6);
+    CHECK(node.ValidatedAt == Start);
+    CHECK(node.Nodes.contains("n1"));
+  }
+  SUBCASE("and are not undone by a view that the change is not part of") {
+    ClusterView older = makeView({"n1", 11});
+    older.Revision = 7;
+    mergeView(node, older);
+    CHECK(node.Groups["g"].Value.Moving);
+    CHECK(node.Revision == 7);
+  }
+  SUBCASE("and pass on to a node with the same revision of the rest") {
+    ClusterView other = makeView({"n1", 11});
+    CHECK(digestOf(other) != digestOf(node));
+    CHECK(mergeView(other, node));
+    CHECK(other.Groups["g"].Value.Moving);
+  }
+  SUBCASE("and change nothing when they are old or cannot be read") {
+    CHECK_FALSE(applyGroupChange(node, change));
+    CHECK_FALSE(applyGroupChange(node, "{broken"));
+  }
+}
+
 } // namespace
 } // namespace baobabpin::cluster
--- a/baobabpin/cluster/ConnectionPlan.cpp
+++ b/baobabpin/cluster/ConnectionPlan.cpp
@@ -1,6 +1,7 @@
 #include "baobabpin/cluster/ConnectionPlan.h"
 
 #include "baobabpin/base/Hash.h"
+#include "baobabpin/cluster/FleetPlan.h"
 
 #include <algorithm>
 #include <cmath>
@@ -32,9 +33,12 @@
     ranked.emplace_back(it.Zone != server.Zone, ownerScore(server, it),
                         it.Name);
   std::ranges::sort(ranked);
+  std::size_t candidates = nodes.size() > SmallFleetLimit
+                               ? LargeFleetOwnerCandidates
+                               : OwnerCandidates;
   std::vector<std::string> owners;
   for (const auto &it : ranked) {
-    if (owners.size() == OwnerCandidates)
+    if (owners.size() == candidates)
       break;
     owners.push_back(std::get<2>(it));
   }
--- a/baobabpin/cluster/ConnectionPlan.h
+++ b/baobabpin/cluster/ConnectionPlan.h
@@ -16,8 +16,11 @@
 
 /// A server with at least this many connections for each node is used directly.
 inline constexpr int DirectConnectionsPerNode = 3;
-/// Owners that are tried before a node connects by itself.
+/// Owners that are tried before a node connects by itself. In a large fleet no
+/// other node does, because all would at once, and a refused connection costs
+/// the server as much as an accepted one; more owners are tried there.
 inline constexpr std::size_t OwnerCandidates = 2;
+inline constexpr std::size_t LargeFleetOwnerCandidates = 4;
 
 /// \p nodes includes this node.
 bool isDirect(int serverLimit, int nodes);
--- a/baobabpin/cluster/PlacementTest.cpp
+++ b/baobabpin/cluster/PlacementTest.cpp
@@ -81,6 +81,27 @@
   SUBCASE("is in another zone when the server's has no node") {
     CHECK(rankOwners(server, {{"n1", "a"}}).front() == "n1");
   }
+  SUBCASE("is more often a strong node, which carries all work of a server") {
+    std::vector<NodePlace> fleet;
+    for (int n = 0; n < 20; ++n)
+      fleet.push_back({"f" + std::to_string(n), "b", n < 2 ? 500 : 120});
+    int strong = 0;
+    for (int n = 0; n < 300; ++n) {
+      ServerRegistration it{
+          .Id = "s" + std::to_string(n), .Group = "g", .Zone = "b"};
+      std::string owner = rankOwners(it, fleet).front();
+      strong += owner == "f0" || owner == "f1" ? 1 : 0;
+    }
+    // Two of twenty nodes with 32 % of the zone's capacity.
+    CHECK(strong > 300 / 5);
+    CHECK(strong < 300 / 2);
+  }
+  SUBCASE("has more successors where no other node may connect") {
+    std::vector<NodePlace> fleet;
+    for (int n = 0; n < 20; ++n)
+      fleet.push_back({"f" + std::to_string(n), "b"});
+    CHECK(rankOwners(server, fleet).size() == LargeFleetOwnerCandidates);
+  }
   SUBCASE("is needed only where connections are few") {
     CHECK_FALSE(isDirect(16, 9));
     CHECK(isDirect(34, 9));
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -80,10 +80,13 @@
         limit, static_cast<int>(Cluster.peers().size()) + 1);
   case ServerReach::Owner:
     return pooling::ownerShare(limit);
+  case ServerReach::Standby:
+    return pooling::guestShare(limit);
   case ServerReach::Guest:
     break;
   }
-  return pooling::guestShare(limit);
+  return Cluster.plan().Large ? pooling::ProbeShare
+                              : pooling::guestShare(limit);
 }
 
 void GroupProxy::resumeWaiting() {
@@ -205,8 +208,9 @@
   bool silent = heard && *heard > DirectProbeAfter;
   // Whether the primary is gone, or its owner, shows only directly. Without any
   // position, the owner's probe goes before the reads that wait for it.
-  bool needed = often && (silent || (History.Samples.empty() &&
-                                     !channelFor(*choice.Pool)));
+  bool needed =
+      often &&
+      (silent || (History.Samples.empty() && !channelFor(*choice.Pool)));
   if (needed && !ProbeRunning && !ProbeWaiter && !choice.Pool->hasIdle()) {
     ProbeWaiter = std::make_shared<pooling::Waiter>();
     ProbeWaiter->Priority = -1;
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -2,6 +2,7 @@
 /// primary reported, and the work that waits for a primary.
 #pragma once
 
+#include "baobabpin/admission/RetryBudget.h"
 #include "baobabpin/cluster/MoveDecision.h"
 #include "baobabpin/cluster/PositionHistory.h"
 #include "baobabpin/control/ClusterService.h"
@@ -27,6 +28,10 @@
   std::uint64_t Epoch = 0;
 };
 
+/// Reads of a group that this node may send again at once. Small, because all
+/// nodes find a group slow at the same time.
+inline constexpr double SlowReadBurst = 3;
+
 class GroupProxy {
 public:
   GroupProxy(kernel::EventLoop &loop, control::ClusterService &cluster,
@@ -52,6 +57,10 @@
   ChannelPtr channelFor(const pooling::ServerPool &pool) {
     return Routes.channelFor(pool.server());
   }
+  /// Whether this node may connect to the server for its clients' work.
+  bool mayConnect(const pooling::ServerPool &pool) {
+    return Routes.mayConnect(pool.server());
+  }
 
   /// Notes a reply of \p pool; \p epoch is the one in which the statement was
   /// sent, if the pool was the usable primary then.
@@ -77,6 +86,9 @@
   /// Calls back when no commit is in flight, or after DrainLimit.
   void whenCommitsDrained(std::function<void()> callback);
 
+  /// Pays for sending a read again while its first reply may still come.
+  admission::RetryBudget &slowReadBudget() { return SlowReadBudget; }
+
   cluster::PrimaryObservation observePrimary() const;
   const base::GroupName &name() const { return Name; }
 
@@ -99,6 +111,8 @@
   std::list<PoolPtr> Retiring;
   cluster::PositionHistory History;
   std::list<std::weak_ptr<std::function<void()>>> WaitingForPrimary;
+  admission::RetryBudget SlowReadBudget{
+      .PerRequest = 0.1, .Burst = SlowReadBurst, .Tokens = SlowReadBurst};
   int CommitsInFlight = 0;
   std::list<std::function<void()>> DrainCallbacks;
   std::uint64_t LastEpoch = 0;
--- a/baobabpin/frontend/Owners.cpp
+++ b/baobabpin/frontend/Owners.cpp
@@ -1,5 +1,6 @@
 #include "baobabpin/frontend/Owners.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace baobabpin::frontend {
@@ -46,12 +47,20 @@
   int nodes = static_cast<int>(Cluster.view().Nodes.size());
   if (cluster::isDirect(group->second.MaxConnections, nodes))
     return ServerReach::Direct;
-  return ownersOf(server).front() == Cluster.self().Node ? ServerReach::Owner
-                                                         : ServerReach::Guest;
+  const auto &owners = ownersOf(server);
+  auto rank = std::ranges::find(owners, Cluster.self().Node);
+  if (rank == owners.begin())
+    return ServerReach::Owner;
+  return rank == owners.end() ? ServerReach::Guest : ServerReach::Standby;
+}
+
+bool Owners::mayConnect(const cluster::ServerRegistration &server) {
+  return !Cluster.plan().Large || reach(server) != ServerReach::Guest;
 }
 
 ChannelPtr Owners::channelFor(const cluster::ServerRegistration &server) {
-  if (reach(server) != ServerReach::Guest)
+  auto own = reach(server);
+  if (own == ServerReach::Direct || own == ServerReach::Owner)
     return nullptr;
   auto now = base::BootClock::now();
   for (const auto &node : ownersOf(server)) {
--- a/baobabpin/frontend/Owners.h
+++ b/baobabpin/frontend/Owners.h
@@ -16,9 +16,10 @@
 using ChannelPtr = std::shared_ptr<relay::Channel>;
 
 enum class ServerReach {
-  Direct, ///< All nodes connect to the server.
-  Owner,  ///< This node owns the server's connections.
-  Guest,  ///< Another node owns them.
+  Direct,  ///< All nodes connect to the server.
+  Owner,   ///< This node owns the server's connections.
+  Standby, ///< This node takes over when the owners before it are gone.
+  Guest,   ///< Other nodes own them.
 };
 
 class Owners {
@@ -31,9 +32,12 @@
   /// Gives up owners that are silent.
   void tick(base::BootTime now);
   ServerReach reach(const cluster::ServerRegistration &server);
-  /// The channel to the server's owner. Null when this node is to connect by
-  /// itself: it is the owner, or no owner can be reached.
+  /// The channel to the server's owner. Null when this node is the owner, or no
+  /// owner can be reached.
   ChannelPtr channelFor(const cluster::ServerRegistration &server);
+  /// Whether this node may connect for its clients' work if no owner can be
+  /// reached.
+  bool mayConnect(const cluster::ServerRegistration &server);
 
 private:
   struct Peer {
--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -95,6 +95,9 @@
     case relay::RequestKind::Ping:
       send(*request, {});
       return;
+    case relay::RequestKind::Cancel:
+      cancel(*request);
+      return;
     }
   }
 
@@ -165,6 +168,16 @@
     send(request, std::move(reply));
   }
 
+  /// The reply, which nobody reads, lets the caller forget the request.
+  void cancel(const relay::Request &request) {
+    auto it = Runs.find(request.Sequence);
+    if (it == Runs.end())
+      return;
+    it->second->cancel();
+    Runs.erase(it);
+    refuse(request, sql::ErrorCode::Aborted, "cancelled");
+  }
+
   void release(std::uint64_t token) {
     auto it = Transactions.find(token);
     if (it == Transactions.end())
--- a/baobabpin/frontend/RunTypes.cpp
+++ b/baobabpin/frontend/RunTypes.cpp
@@ -24,9 +24,13 @@
   case RetryCause::SlowReply:
     return "slow_reply";
   case RetryCause::OwnerRefused:
+    return "owner_refused";
+  case RetryCause::NoOwner:
+    return "no_owner";
+  case RetryCause::Overloaded:
     break;
   }
-  return "owner_refused";
+  return "overloaded";
 }
 
 } // namespace baobabpin::frontend
--- a/baobabpin/frontend/RunTypes.h
+++ b/baobabpin/frontend/RunTypes.h
@@ -73,6 +73,10 @@
   ReplyLost,
   SlowReply,
   OwnerRefused,
+  /// No owner of the server's connections can be reached.
+  NoOwner,
+  /// More work waits for the server than it can do in time.
+  Overloaded,
 };
 
 std::string_view retryCauseName(RetryCause cause);
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -53,6 +53,7 @@
       Loop.runAfter(Deadline - base::BootClock::now(),
                     [self = shared_from_this()] { self->onDeadline(); });
   if (!isPinned()) {
+    admission::onRequest(Group->slowReadBudget());
     place();
     return;
   }
@@ -205,6 +206,10 @@
       sendThroughOwner(channel, 0);
       return;
     }
+    if (!Group->mayConnect(*pool)) {
+      retryElsewhere(ErrorCode::Busy, RetryCause::NoOwner);
+      return;
+    }
   }
   Waiter = std::make_shared<pooling::Waiter>();
   Waiter->Priority = Request.Route.Priority;
@@ -221,9 +226,12 @@
   pool->acquire(Waiter);
 }
 
-void StatementRun::onRefused(ErrorCode) {
+void StatementRun::onRefused(ErrorCode code) {
   Waiter.reset();
-  retryElsewhere(ErrorCode::Busy, RetryCause::ServerUnreachable);
+  bool overloaded = code == ErrorCode::TooManyConnections;
+  retryElsewhere(overloaded ? code : ErrorCode::Busy,
+                 overloaded ? RetryCause::Overloaded
+                            : RetryCause::ServerUnreachable);
 }
 
 void StatementRun::onGranted(const pooling::LinkPtr &link) {
@@ -364,18 +372,19 @@
   request.Prepared = Request.Prepared;
   Sent = true;
   Relay = channel;
-  channel->send(std::move(request),
-                [weak = weak_from_this(), n = ++RelayTry,
-                 channel](std::optional<relay::Reply> reply) {
-                  auto self = weak.lock();
-                  if (self && self->OnDone && self->RelayTry == n) {
-                    self->onRelayed(std::move(reply));
-                    return;
-                  }
-                  // Nobody waits any more, so nobody would end it.
-                  if (reply && reply->Transaction != 0)
-                    channel->release(reply->Transaction);
-                });
+  auto onReply = [weak = weak_from_this(), n = ++RelayTry,
+                  channel](std::optional<relay::Reply> reply) {
+    auto self = weak.lock();
+    if (self && self->OnDone && self->RelayTry == n) {
+      self->onRelayed(std::move(reply));
+      return;
+    }
+    // Nobody waits any more, so nobody would end it.
+    if (reply && reply->Transaction != 0)
+      channel->release(reply->Transaction);
+  };
+  auto sequence = channel->send(std::move(request), onReply);
+  RelaySequence = sequence;
   if (Relay)
     watchReply();
 }
@@ -419,7 +428,8 @@
 }
 
 void StatementRun::onSlowReply() {
-  if ((!Link && !Relay) || Tries >= MaxTries)
+  if ((!Link && !Relay) || Tries >= MaxTries ||
+      !admission::tryRetry(Group->slowReadBudget()))
     return;
   retryElsewhere(ErrorCode::Busy, RetryCause::SlowReply);
 }
@@ -466,9 +476,12 @@
       notRun || (!Request.Writes && (*reply.Error == ErrorCode::Failed ||
                                      *reply.Error == ErrorCode::TimedOut));
   if (!isPinned() && mayRepeat) {
+    bool overloaded =
+        !fromServer && *reply.Error == ErrorCode::TooManyConnections;
+    auto ownerCause =
+        overloaded ? RetryCause::Overloaded : RetryCause::OwnerRefused;
     retryElsewhere(notRun ? *reply.Error : ErrorCode::Failed,
-                   fromServer ? RetryCause::ServerRefused
-                              : RetryCause::OwnerRefused);
+                   fromServer ? RetryCause::ServerRefused : ownerCause);
     return;
   }
   RunResult result;
@@ -503,10 +516,13 @@
       .add("reason", retryCauseName(cause))
       .add("try", Tries);
   Sent = false;
-  bool refused =
-      cause == RetryCause::ServerRefused || cause == RetryCause::SetupRefused;
+  bool refused = cause == RetryCause::ServerRefused ||
+                 cause == RetryCause::SetupRefused ||
+                 cause == RetryCause::Overloaded;
   bool mayWait = Request.NeedsPrimary && !refused;
-  if ((Tries >= MaxTries && !mayWait) || Request.FixedServer) {
+  // Only the primary would do, and its queue says that it cannot.
+  bool hopeless = Request.NeedsPrimary && cause == RetryCause::Overloaded;
+  if ((Tries >= MaxTries && !mayWait) || Request.FixedServer || hopeless) {
     finish(code, retryCauseName(cause));
     return;
   }
@@ -534,8 +550,10 @@
 
 void StatementRun::releaseLink() {
   // A reply that comes later finds that this try is over.
-  if (std::exchange(Relay, nullptr))
+  if (auto channel = std::exchange(Relay, nullptr)) {
     ++RelayTry;
+    channel->cancel(RelaySequence);
+  }
   auto pinned = std::exchange(Request.Pinned, {});
   if (pinned.Channel)
     rollBack(*Group, pinned);
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -80,6 +80,8 @@
   ChannelPtr Relay;
   /// Distinguishes the outstanding reply from those of earlier tries.
   int RelayTry = 0;
+  /// The owner's number of the outstanding request.
+  std::uint64_t RelaySequence = 0;
   base::BootTime RelayedAt{};
   pooling::WaiterPtr Waiter;
   GroupProxy::ResumeHandle Resume;
--- a/baobabpin/pooling/PoolPolicy.h
+++ b/baobabpin/pooling/PoolPolicy.h
@@ -26,6 +26,9 @@
 /// the server still counts after the owner's host lost power.
 ConnectionShare ownerShare(int serverLimit);
 
+/// The share of a node that only asks the server for its state.
+inline constexpr ConnectionShare ProbeShare{0, 1};
+
 /// The share of a node that sends its work through the owner while it can.
 ConnectionShare guestShare(int serverLimit);
 
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -53,8 +53,16 @@
     return std::pair(waiter->Priority, waiter->Deadline) <
            std::pair(it->Priority, it->Deadline);
   });
-  Waiting.insert(before, waiter);
   auto now = base::BootClock::now();
+  auto ahead = std::distance(Waiting.begin(), before);
+  if (waiter->Deadline != base::BootTime{} && !Waiting.empty() &&
+      admission::isHopeless(
+          admission::expectedWait(Pace, static_cast<std::size_t>(ahead)),
+          waiter->Deadline - now)) {
+    waiter->OnRefused(sql::ErrorCode::TooManyConnections);
+    return;
+  }
+  Waiting.insert(before, waiter);
   if (shouldOpen(counts(), Share, BackoffUntil, now))
     openOne();
   else if (openCount() == 0 && Opening.empty() && Condition.Unreachable)
@@ -122,6 +130,7 @@
   while (!Waiting.empty() && !Idle.empty()) {
     WaiterPtr waiter = Waiting.front();
     Waiting.pop_front();
+    admission::noteGrant(Pace, base::BootClock::now(), !Waiting.empty());
     grant(takeIdleFor(*waiter), waiter);
   }
   if (shouldOpen(counts(), Share, BackoffUntil, base::BootClock::now()))
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -8,6 +8,7 @@
 /// \endcode
 #pragma once
 
+#include "baobabpin/admission/QueueWait.h"
 #include "baobabpin/cluster/Types.h"
 #include "baobabpin/pooling/PoolPolicy.h"
 #include "baobabpin/pooling/ServerLink.h"
@@ -24,12 +25,15 @@
 /// Work that needs a connection. Served by priority, then by deadline.
 struct Waiter {
   int Priority = 0;
+  /// Work that could hardly be done by then is refused at once. Unset: it
+  /// waits.
   base::BootTime Deadline{};
   /// The session state that the work needs; a connection that has it already
   /// is preferred. May be null.
   const std::map<std::string, std::string> *Values = nullptr;
   std::function<void(LinkPtr)> OnGranted;
-  /// The server cannot be reached, or is not the expected one.
+  /// The server cannot be reached, is not the expected one, or has more work
+  /// waiting than it can do (TooManyConnections).
   std::function<void(sql::ErrorCode)> OnRefused;
 };
 using WaiterPtr = std::shared_ptr<Waiter>;
@@ -105,6 +109,7 @@
   std::vector<LinkPtr> Opening;
   std::vector<LinkPtr> Abandoned;
   std::list<WaiterPtr> Waiting;
+  admission::QueuePace Pace;
   base::BootTime BackoffUntil{};
   bool Closing = false;
 };
--- a/baobabpin/relay/Channel.cpp
+++ b/baobabpin/relay/Channel.cpp
@@ -41,25 +41,39 @@
     Connection->close();
 }
 
-void Channel::send(Request request, Callback callback) {
+std::uint64_t Channel::send(Request request, Callback callback) {
+  request.Sequence = NextSequence++;
   if (Failed) {
     if (callback)
       callback(std::nullopt);
-    return;
+    return request.Sequence;
   }
   auto now = base::BootClock::now();
   // The silence that counts begins with the oldest outstanding request.
   if (Outstanding.empty())
     LastHeard = std::max(LastHeard, now);
   LastSent = now;
-  request.Sequence = NextSequence++;
-  std::string line = encode(request);
-  line += LineEnd;
   if (callback)
     Outstanding.emplace(request.Sequence, std::move(callback));
+  write(request);
+  return request.Sequence;
+}
+
+void Channel::write(const Request &request) {
+  std::string line = encode(request);
+  line += LineEnd;
   Connection->send(line);
 }
 
+void Channel::cancel(std::uint64_t sequence) {
+  if (Failed || !Outstanding.contains(sequence))
+    return;
+  Request request;
+  request.Kind = RequestKind::Cancel;
+  request.Sequence = sequence;
+  write(request);
+}
+
 void Channel::release(std::uint64_t transaction) {
   Request request;
   request.Kind = RequestKind::Release;
--- a/baobabpin/relay/Channel.h
+++ b/baobabpin/relay/Channel.h
@@ -26,8 +26,11 @@
                                        const http::Endpoint &owner);
   ~Channel();
 
-  /// Sends \p request under a new sequence number.
-  void send(Request request, Callback callback);
+  /// Sends \p request under a new sequence number, which is returned.
+  std::uint64_t send(Request request, Callback callback);
+  /// Nobody waits for the statement of that sequence number any more. One that
+  /// has not been sent to its server yet is not run.
+  void cancel(std::uint64_t sequence);
   /// Rolls back a transaction, without waiting.
   void release(std::uint64_t transaction);
   /// Gives up an owner that is silent although a reply is outstanding.
@@ -38,6 +41,7 @@
 
 private:
   Channel() = default;
+  void write(const Request &request);
   void onLine(std::string_view line);
   void fail();
 
--- /dev/null
+++ b/baobabpin/relay/ChannelTest.cpp
@@ -0,0 +1,68 @@
+#include "baobabpin/relay/Channel.h"
+
+#include <doctest/doctest.h>
+
+namespace baobabpin::relay {
+namespace {
+
+using namespace std::chrono_literals;
+
+const http::Endpoint OwnerEndpoint{"127.0.0.1", 39471};
+
+/// An owner that notes requests and replies to none.
+struct SilentOwner {
+  kernel::EventLoop Loop;
+  net::Listener Socket{Loop};
+  std::shared_ptr<net::LineConnection> Connection;
+  std::vector<Request> Requests;
+
+  SilentOwner() {
+    bool listening = base::handleFailure(
+        [&]() -> base::Result<bool> {
+          BOOST_LEAF_CHECK(
+              Socket.listen(OwnerEndpoint, [this](int fd) { accept(fd); }));
+          return true;
+        },
+        [](const base::Failure &) { return false; });
+    REQUIRE(listening);
+  }
+
+  void accept(int fd) {
+    net::LineHandlers handlers;
+    handlers.OnLine = [this](std::string_view line) {
+      auto request = decodeRequest(line);
+      REQUIRE(request);
+      Requests.push_back(*request);
+    };
+    Connection = net::LineConnection::adopt(Loop, fd, std::move(handlers));
+  }
+
+  void runFor(base::Duration time) {
+    auto end = Loop.runAfter(time, [this] { Loop.stop(); });
+    Loop.run();
+  }
+};
+
+TEST_CASE("an owner learns that nobody waits any more") {
+  // Guards against work for nobody: in an overload, owners ran what their
+  // guests had given up, and the queue never became short again.
+  SilentOwner owner;
+  auto channel = Channel::open(owner.Loop, OwnerEndpoint);
+  Request run;
+  run.Kind = RequestKind::Run;
+  auto sequence = channel->send(run, [](const std::optional<Reply> &) {});
+  channel->cancel(sequence);
+  owner.runFor(100ms);
+  REQUIRE(owner.Requests.size() == 2);
+  CHECK(owner.Requests.back().Kind == RequestKind::Cancel);
+  CHECK(owner.Requests.back().Sequence == sequence);
+
+  SUBCASE("and hears nothing of a request that was never sent") {
+    channel->cancel(sequence + 1);
+    owner.runFor(50ms);
+    CHECK(owner.Requests.size() == 2);
+  }
+}
+
+} // namespace
+} // namespace baobabpin::relay
--- a/baobabpin/relay/Messages.cpp
+++ b/baobabpin/relay/Messages.cpp
@@ -210,7 +210,7 @@
     json body = parse(line);
     Request it;
     it.Sequence = body.at("seq").get<std::uint64_t>();
-    it.Kind = enumFrom(body.at("kind"), RequestKind::Ping);
+    it.Kind = enumFrom(body.at("kind"), RequestKind::Cancel);
     it.Group = body.at("group").get<std::string>();
     it.Server = body.at("server").get<std::string>();
     it.Transaction = body.at("tx").get<std::uint64_t>();
--- a/baobabpin/relay/Messages.h
+++ b/baobabpin/relay/Messages.h
@@ -25,6 +25,7 @@
   Release, ///< Roll back and forget a transaction.
   Probe,   ///< Report what is known of a group's primary.
   Ping,    ///< Show that the owner is alive.
+  Cancel,  ///< Do not run the statement with the same sequence number.
 };
 
 struct Request {
