Keep connections for single statements, and none for probes

New ones were refused (1,553 times). What was left went to transactions, which keep a connection through their clients' pauses.

Ruled out: start-up (all nodes run 0.6 s after the power is back); the store.

Change: guests probe through the owner and connect only when that is silent, not in the first 1.5 s. An owner runs slots + 2 single statements at a time, the others wait by priority, and transactions leave it as many connections as the server has slots.

A share of the lost connections stays what binds.

--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -60,6 +60,8 @@
   http::Endpoint Address;
   base::AvailabilityZone Zone;
   bool Draining = false;
+  /// Statements that the server works on at the same time.
+  int Slots = 1;
   /// How the server sees itself; it may not know of a newer primary.
   sql::ServerRole Role = sql::ServerRole::Replica;
 
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -37,6 +37,7 @@
           {"address", http::formatEndpoint(it.Address)},
           {"zone", it.Zone},
           {"draining", it.Draining},
+          {"slots", it.Slots},
           {"primary", it.Role == sql::ServerRole::Primary}};
 }
 
@@ -46,6 +47,7 @@
           http::parseEndpoint(it.at("address").get<std::string>()),
           it.at("zone").get<std::string>(),
           it.at("draining").get<bool>(),
+          it.at("slots").get<int>(),
           it.at("primary").get<bool>() ? sql::ServerRole::Primary
                                        : sql::ServerRole::Replica};
 }
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -274,6 +274,7 @@
   };
   auto deadline = std::make_shared<kernel::Timer>();
   auto waiter = std::make_shared<pooling::Waiter>();
+  waiter->Kind = pooling::Work::Probe;
   waiter->Priority = -1; // Before all clients' work.
   *deadline = Kernel->loop().runAfter(
       timeout, [pool, finish, weak = std::weak_ptr(waiter), deadline] {
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds ProbeTimeout{350};
 /// A guest that has not heard of the primary for this long connects to it.
 constexpr milliseconds DirectProbeAfter{320};
+/// After a start, the owners of connections start as well; a guest that
+/// connected meanwhile would take what they need.
+constexpr milliseconds DirectProbeSettling{1500};
 /// How long a move waits for commits in flight at the old primary.
 constexpr milliseconds DrainLimit{200};
 
@@ -79,7 +82,7 @@
     return pooling::shareConnections(
         limit, static_cast<int>(Cluster.peers().size()) + 1);
   case ServerReach::Owner:
-    return pooling::ownerShare(limit);
+    return pooling::ownerShare(limit, server.Slots);
   case ServerReach::Standby:
     return pooling::guestShare(limit);
   case ServerReach::Guest:
@@ -204,15 +207,22 @@
                     (often ? ProbePeriod : UnwatchedProbeAge);
   if (recent)
     return;
+  ChannelPtr channel = channelFor(*choice.Pool);
   auto heard = observePrimary().HeardAge;
-  bool silent = heard && *heard > DirectProbeAfter;
+  bool silent = now - StartedAt > DirectProbeSettling && heard &&
+                *heard > DirectProbeAfter;
+  // A guest keeps no connection for its probes; the server has few.
+  if (channel && !silent) {
+    if (!ProbeRunning)
+      probeThroughOwner(channel, choice.Epoch);
+    return;
+  }
   // Whether the primary is gone, or its owner, shows only directly. Without any
   // position, the owner's probe goes before the reads that wait for it.
-  bool needed =
-      often &&
-      (silent || (History.Samples.empty() && !channelFor(*choice.Pool)));
+  bool needed = often && (silent || (History.Samples.empty() && !channel));
   if (needed && !ProbeRunning && !ProbeWaiter && !choice.Pool->hasIdle()) {
     ProbeWaiter = std::make_shared<pooling::Waiter>();
+    ProbeWaiter->Kind = pooling::Work::Probe;
     ProbeWaiter->Priority = -1;
     ProbeWaiter->OnGranted = [this, choice](const pooling::LinkPtr &link) {
       ProbeWaiter.reset();
@@ -227,7 +237,7 @@
     return;
   if (pooling::LinkPtr link = choice.Pool->takeIdle())
     probeDirectly(choice, link);
-  else if (ChannelPtr channel = channelFor(*choice.Pool))
+  else if (channel)
     probeThroughOwner(channel, choice.Epoch);
 }
 
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -116,6 +116,7 @@
   int CommitsInFlight = 0;
   std::list<std::function<void()>> DrainCallbacks;
   std::uint64_t LastEpoch = 0;
+  base::BootTime StartedAt = base::BootClock::now();
   /// When the present primary began to be used.
   base::BootTime PrimarySince{};
   /// When the owner of the primary's connections last heard the primary.
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -212,6 +212,8 @@
     }
   }
   Waiter = std::make_shared<pooling::Waiter>();
+  Waiter->Kind =
+      Request.Begin ? pooling::Work::Transaction : pooling::Work::Statement;
   Waiter->Priority = Request.Route.Priority;
   Waiter->Deadline = Deadline;
   Waiter->Values = &Request.Values;
--- a/baobabpin/pooling/PoolPolicy.cpp
+++ b/baobabpin/pooling/PoolPolicy.cpp
@@ -9,6 +9,9 @@
 constexpr int BorrowDivisor = 3;
 constexpr int OwnerWarmConnections = 3;
 constexpr int GuestDivisor = 8;
+/// Statements that wait at a server, so that its slots stay busy while a reply
+/// travels.
+constexpr int QueuedAtServer = 2;
 
 } // namespace
 
@@ -19,13 +22,28 @@
   return it;
 }
 
-ConnectionShare ownerShare(int serverLimit) {
+ConnectionShare ownerShare(int serverLimit, int slots) {
   int most = std::max(1, 3 * serverLimit / 4);
-  return {std::min(OwnerWarmConnections, most), most};
+  return {.Guaranteed = std::min(OwnerWarmConnections, most),
+          .Most = most,
+          .Statements = slots + QueuedAtServer,
+          .Reserved = std::min(slots, most / 2)};
 }
 
 ConnectionShare guestShare(int serverLimit) {
-  return {0, std::max(1, serverLimit / GuestDivisor)};
+  return {.Guaranteed = 0, .Most = std::max(1, serverLimit / GuestDivisor)};
+}
+
+bool mayGrant(const PoolUse &use, const ConnectionShare &share, Work work) {
+  switch (work) {
+  case Work::Statement:
+    return use.Statements < share.Statements;
+  case Work::Transaction:
+    return use.Transactions < std::max(1, use.Open - share.Reserved);
+  case Work::Probe:
+    break;
+  }
+  return true;
 }
 
 bool shouldOpen(const PoolCounts &counts, const ConnectionShare &share,
--- a/baobabpin/pooling/ServerLink.h
+++ b/baobabpin/pooling/ServerLink.h
@@ -4,6 +4,7 @@
 
 #include "baobabpin/base/BootClock.h"
 #include "baobabpin/net/LineConnection.h"
+#include "baobabpin/pooling/PoolPolicy.h"
 #include "platform/Wire.h"
 
 #include <functional>
@@ -55,6 +56,8 @@
   base::BootTime idleSince() const { return IdleSince; }
 
   LinkSessionState Session;
+  /// What the connection was last given to.
+  Work GivenTo = Work::Statement;
   /// Called after each change to Idle or Closed that no batch callback handles,
   /// that is, after a dropped batch and after an unexpected close.
   std::function<void()> OnSettled;
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -34,8 +34,24 @@
 }
 
 PoolCounts ServerPool::counts() const {
+  int waitingStatements = static_cast<int>(std::ranges::count(
+      Waiting, Work::Statement, [](const WaiterPtr &it) { return it->Kind; }));
+  int others = static_cast<int>(Waiting.size()) - waitingStatements;
+  // One more connection helps no statement that waits for its turn.
+  int startable = std::max(0, Share.Statements - use().Statements);
   return {static_cast<int>(Idle.size() + Busy.size() + Abandoned.size()),
-          static_cast<int>(Opening.size()), static_cast<int>(Waiting.size())};
+          static_cast<int>(Opening.size()),
+          others + std::min(waitingStatements, startable)};
+}
+
+PoolUse ServerPool::use() const {
+  PoolUse it;
+  it.Open = static_cast<int>(openCount());
+  for (const auto &link : Busy) {
+    it.Statements += link->GivenTo == Work::Statement ? 1 : 0;
+    it.Transactions += link->GivenTo == Work::Transaction ? 1 : 0;
+  }
+  return it;
 }
 
 void ServerPool::acquire(const WaiterPtr &waiter) {
@@ -43,7 +59,9 @@
     waiter->OnRefused(sql::ErrorCode::WrongServer);
     return;
   }
-  if (Waiting.empty()) {
+  // Whoever waits has no idle connection, or may not be given one; so this work
+  // overtakes nobody who needs the same.
+  if (mayGrantTo(*waiter)) {
     if (LinkPtr link = takeIdleFor(*waiter)) {
       grant(link, waiter);
       return;
@@ -90,11 +108,17 @@
     return nullptr;
   LinkPtr link = Idle.back();
   Idle.pop_back();
+  link->GivenTo = Work::Probe;
   Busy.push_back(link);
   return link;
 }
 
+bool ServerPool::mayGrantTo(const Waiter &waiter) const {
+  return mayGrant(use(), Share, waiter.Kind);
+}
+
 void ServerPool::grant(const LinkPtr &link, const WaiterPtr &waiter) {
+  link->GivenTo = waiter->Kind;
   Busy.push_back(link);
   waiter->OnGranted(link);
 }
@@ -127,9 +151,13 @@
 }
 
 void ServerPool::serveWaiting() {
-  while (!Waiting.empty() && !Idle.empty()) {
-    WaiterPtr waiter = Waiting.front();
-    Waiting.pop_front();
+  while (!Idle.empty()) {
+    auto next = std::ranges::find_if(
+        Waiting, [&](const WaiterPtr &it) { return mayGrantTo(*it); });
+    if (next == Waiting.end())
+      break;
+    WaiterPtr waiter = *next;
+    Waiting.erase(next);
     admission::noteGrant(Pace, base::BootClock::now(), !Waiting.empty());
     grant(takeIdleFor(*waiter), waiter);
   }
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -24,6 +24,7 @@
 
 /// Work that needs a connection. Served by priority, then by deadline.
 struct Waiter {
+  Work Kind = Work::Statement;
   int Priority = 0;
   /// Work that could hardly be done by then is refused at once. Unset: it
   /// waits.
@@ -99,6 +100,8 @@
   void refuseAll(sql::ErrorCode code);
   LinkPtr takeIdleFor(const Waiter &waiter);
   PoolCounts counts() const;
+  PoolUse use() const;
+  bool mayGrantTo(const Waiter &waiter) const;
 
   kernel::EventLoop &Loop;
   cluster::ServerRegistration Server;
