--- a/scripts/lib/processes.py
+++ b/scripts/lib/processes.py
@@ -26,12 +26,14 @@
         self.log_folder = log_folder
         self.running = {}
 
-    def start(self, name, arguments):
-        log = open(os.path.join(self.log_folder, name + ".log"), "wb")
+    def start(self, name, arguments, environment=None):
+        # A process that starts again continues its log.
+        log = open(os.path.join(self.log_folder, name + ".log"), "ab")
         with log:
             process = subprocess.Popen(
                 [str(it) for it in arguments], stdin=subprocess.DEVNULL,
                 stdout=log, stderr=subprocess.STDOUT,
+                env=os.environ | (environment or {}),
                 preexec_fn=_die_with_parent)
         self.running[name] = process
         return process
