Turn unready when the view is 0.9 s old; hand-overs in the soak

Cause: in a zone that is cut off, strict work is refused from 1.8 s on, and the platform needs two missed checks, one a second, before it sends clients to other zones. Readiness ended at a view of 1.3 s.

Ruled out for large fleets: their views may be that old without a fault.

A single missed check changes nothing, so a short lapse of the view costs no client.

It now also drains primaries that stay, while a node sleeps.

--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -21,7 +21,9 @@
 constexpr milliseconds NewConnectionsEnd{2300};
 /// A node with an older view cannot be sure of its primaries for long. Turning
 /// unready lets clients connect to another availability zone.
-constexpr milliseconds UnreadyViewAge{1300};
+constexpr milliseconds UnreadyViewAge{900};
+/// In a large fleet a view may be as old as this without a fault.
+constexpr milliseconds LargeUnreadyViewAge{1300};
 /// After this the platform has stopped sending new connections here.
 constexpr milliseconds UnreadyLimit{2200};
 /// A client that was idle for this long is unlikely to send a request at the
@@ -189,7 +191,8 @@
   if (Draining || !Cluster->configuration() || Groups.empty())
     return false;
   // A node that may use no primary at all serves only part of the clients.
-  return Cluster->viewAge() < UnreadyViewAge;
+  return Cluster->viewAge() <
+         (Cluster->plan().Large ? LargeUnreadyViewAge : UnreadyViewAge);
 }
 
 void FrontendService::countStatement(const cluster::Route &route,
--- a/scripts/lib/platform_soak.py
+++ b/scripts/lib/platform_soak.py
@@ -40,7 +40,8 @@
         self.kinds = (self._freeze, self._kill, self._stop, self._stop_twice,
                       self._cut_store, self._delay_store, self._store_away,
                       self._lose_store_replies, self._lose_replies,
-                      self._crash_server, self._cut_server, self._hold_replica)
+                      self._crash_server, self._cut_server, self._hold_replica,
+                      self._hand_over)
 
     async def run(self, seconds):
         end = time.monotonic() + seconds
@@ -164,6 +165,28 @@
                              heal=heal)
         await self._with_server(action)
 
+    async def _hand_over(self):
+        """A node sleeps while the primary, which stays, becomes a replica that
+        receives nothing."""
+        async def action(node):
+            server = self.fleet.history()["primary"]
+            if server in self.busy_servers:
+                return
+            self.busy_servers.add(server)
+            self._note(f"drain {server}, freeze {node}")
+            self.fleet.signal_node(node, signal.SIGSTOP)
+            self.fleet.fault("drain", server=server)
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            if self.fleet.history()["primary"] != server:
+                self.fleet.fault("hold", server=server)
+                await asyncio.sleep(self.rng.uniform(0.1, 0.5))
+            self.fleet.signal_node(node, signal.SIGCONT)
+            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+            self.fleet.fault("undrain", server=server)
+            self.fleet.fault("unhold", server=server)
+            self.busy_servers.discard(server)
+        await self._with_node(action)
+
     async def _hold_replica(self):
         async def action(server):
             self._note(f"hold {server}")
