Only watchers of a large fleet read a store that is away

Change: a node whose sources answer leaves the store to them.

The soak's clients now rest up to 3 s, so that a request can meet a node that slept through a move.

--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -433,9 +433,13 @@
                    milliseconds fallback) {
     return now - since > (Plan.ReadsStore ? renew : fallback);
   };
-  bool passesOneMore = Plan.Large && !Plan.Watches;
+  // In a large fleet the watchers look for a store that is away; all nodes would
+  // be too many. A node reads by itself when its sources are silent.
+  bool asksOthers = Plan.Large && !Plan.Watches;
+  if (asksOthers && now - SourceHeardAt < LargeFallbackAge)
+    return;
   if (older(View.StoreSeenAt, RenewAge,
-            passesOneMore ? LargeFallbackAge : FallbackAge))
+            asksOthers ? LargeFallbackAge : FallbackAge))
     RecordsReader->read();
   if (older(ServersConfirmedAt, ServersRenewAge, ServersFallbackAge))
     ServersReader->read();
--- a/scripts/lib/platform_clients.py
+++ b/scripts/lib/platform_clients.py
@@ -111,12 +111,18 @@
                     await self._operate(session, name, value, database)
                     if self.stopping:
                         break
-                    await asyncio.sleep(self.random.uniform(0, 0.03))
+                    await self._pause()
             except Disconnected:
                 self.failures += 1
             finally:
                 session.close()
 
+    async def _pause(self):
+        """Now and then long enough that a node sleeps and a primary moves
+        meanwhile, so that the next request meets a node with an old view."""
+        longest = 3.0 if self.random.random() < 0.03 else 0.03
+        await asyncio.sleep(self.random.uniform(0, longest))
+
     async def _operate(self, session, name, value, database):
         if self.random.random() < 0.4:
             await self._write(session, name, value)
