Read changed settings again; a denser soak that notices repeated writes

Settings: SIGHUP, and a changed file without a signal, make the node read its settings again. Seeds and the time to stop change at once; faulty settings are reported and change nothing. Before, SIGHUP only left a log line.

Faults now come about three a second, thirty clients write, and servers also end connections instead of replying.

--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -1,12 +1,12 @@
 /// What this node shares with the others: the records in the store, the
 /// configuration, the servers' registrations, and the calls of peers.
 ///
-/// One node reads the store for all; the others ask it, in a large fleet through
-/// the watchers of their zone (cluster/FleetPlan.h), because a call to a peer
-/// costs far less than one to the store. A node whose view grows old reads the
-/// store itself and asks more peers: any of them with a fresher view relays it.
-/// When no peer reaches the store either, a quorum of them confirms the view
-/// (cluster/ClusterView.h).
+/// One node reads the store for all; the others ask it, in a large fleet
+/// through the watchers of their zone (cluster/FleetPlan.h), because a call to
+/// a peer costs far less than one to the store. A node whose view grows old
+/// reads the store itself and asks more peers: any of them with a fresher view
+/// relays it. When no peer reaches the store either, a quorum of them confirms
+/// the view (cluster/ClusterView.h).
 #pragma once
 
 #include "baobabpin/cluster/ClusterView.h"
@@ -65,6 +65,10 @@
   void stop() override;
 
   ClusterHooks Hooks;
+  /// Takes over what may change while the node runs.
+  void applySettings(const platform::HostSettings &changed) {
+    platform::applyChangeable(Settings, changed);
+  }
   /// Called after the view, the configuration or the servers changed.
   void subscribe(std::function<void()> listener);
 
--- a/baobabpin/frontend/FrontendService.h
+++ b/baobabpin/frontend/FrontendService.h
@@ -25,6 +25,10 @@
   base::Result<void> start(kernel::Kernel &kernel) override;
   void stop() override;
 
+  /// Takes over what may change while the node runs.
+  void applySettings(const platform::HostSettings &changed) {
+    platform::applyChangeable(Settings, changed);
+  }
   /// Turns unready, lets sessions end and calls \p done when nothing is left,
   /// or shortly before the time to stop is over.
   void drain(std::function<void()> done);
--- a/baobabpin/node/Main.cpp
+++ b/baobabpin/node/Main.cpp
@@ -48,7 +48,7 @@
   return baobabpin::base::handleFailure(
       [&]() -> baobabpin::base::Result<int> {
         BOOST_LEAF_AUTO(settings, platform::readHostSettings(path));
-        return checkOnly ? 0 : baobabpin::node::runPlatformNode(settings);
+        return checkOnly ? 0 : baobabpin::node::runPlatformNode(settings, path);
       },
       [&](const baobabpin::base::Failure &failure) {
         std::cerr << "baobabpin: " << path << ": " << failure.Detail << '\n';
--- a/baobabpin/node/PlatformNode.cpp
+++ b/baobabpin/node/PlatformNode.cpp
@@ -4,7 +4,8 @@
 #include "baobabpin/frontend/FrontendService.h"
 
 #include <csignal>
-#include <iostream>
+#include <filesystem>
+#include <utility>
 
 #include <unistd.h>
 
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr int ExitFailed = 1;
+/// The settings file may change without a signal.
+constexpr std::chrono::milliseconds SettingsCheckPeriod{2000};
 /// The removal of the node's registration gets this long before the end.
 constexpr std::chrono::milliseconds FarewellTime{150};
 
@@ -35,7 +38,42 @@
   kernel.add(std::make_unique<control::NodeRetirement>(log));
 }
 
-int runPlatformNode(const platform::HostSettings &settings) {
+namespace {
+
+/// Reads the settings again and hands them to the services.
+void reload(kernel::Kernel &kernel, kernel::LineLog &log,
+            const std::string &path) {
+  base::handleFailure(
+      [&]() -> base::Result<bool> {
+        BOOST_LEAF_AUTO(changed, platform::readHostSettings(path));
+        kernel.find<control::ClusterService>("cluster").applySettings(changed);
+        kernel.find<frontend::FrontendService>("frontend")
+            .applySettings(changed);
+        log.line("reload")
+            .add("result", "ok")
+            .add("seeds", static_cast<std::int64_t>(changed.Seeds.size()))
+            .add("stop_grace_ms", changed.StopGrace);
+        return true;
+      },
+      [&](const base::Failure &failure) {
+        log.line("reload")
+            .add("result", "old_settings_kept")
+            .add("reason", failure.Detail);
+        return false;
+      });
+}
+
+/// The time of the file's last change; the earliest time if there is no file.
+std::filesystem::file_time_type changeTime(const std::string &path) {
+  std::error_code ec;
+  auto time = std::filesystem::last_write_time(path, ec);
+  return ec ? std::filesystem::file_time_type::min() : time;
+}
+
+} // namespace
+
+int runPlatformNode(const platform::HostSettings &settings,
+                    const std::string &path) {
   kernel::Kernel kernel(settings.Node);
   kernel::LineLog log(kernel.loop(), settings.Node, STDOUT_FILENO);
   addPlatformServices(kernel, log, settings);
@@ -63,8 +101,12 @@
           kernel.loop().runAfter(FarewellTime, [&] { kernel.loop().stop(); });
     });
   });
-  kernel.loop().onSignal(SIGHUP, [&] {
-    log.line("reload").add("result", "settings take effect at the next start");
+  kernel.loop().onSignal(SIGHUP, [&] { reload(kernel, log, path); });
+  auto seen = changeTime(path);
+  auto watch = kernel.loop().runEvery(SettingsCheckPeriod, [&] {
+    auto changed = changeTime(path);
+    if (std::exchange(seen, changed) != changed)
+      reload(kernel, log, path);
   });
   kernel.loop().run();
   log.line("stopped");
--- a/baobabpin/node/PlatformNode.h
+++ b/baobabpin/node/PlatformNode.h
@@ -12,7 +12,10 @@
 void addPlatformServices(kernel::Kernel &kernel, kernel::LineLog &log,
                          const platform::HostSettings &settings);
 
-/// Runs until it is told to stop; returns the exit code of the process.
-int runPlatformNode(const platform::HostSettings &settings);
+/// Runs until it is told to stop; returns the exit code of the process. On
+/// SIGHUP, and when the file at \p path has changed, the settings are read
+/// again; faulty ones are reported and change nothing.
+int runPlatformNode(const platform::HostSettings &settings,
+                    const std::string &path);
 
 } // namespace baobabpin::node
--- a/scripts/lib/platform_clients.py
+++ b/scripts/lib/platform_clients.py
@@ -27,7 +27,6 @@
     item: str
     value: int
     begun: float
-    client: str
     strict: bool
 
 
@@ -127,8 +126,8 @@
         if self.random.random() < 0.4:
             await self._write(session, name, value)
         else:
-            item = self.random.choice((name, self.random.choice(self.names)))
-            await self._read(session, name, item, database)
+            item = self.random.choice(self.names)
+            await self._read(session, item, database)
 
     async def _write(self, session, name, value):
         identifier = f"w{next(self._ids)}"
@@ -161,14 +160,14 @@
             raise Disconnected(error)
         return error
 
-    async def _read(self, session, name, item, database):
+    async def _read(self, session, item, database):
         begun = asyncio.get_running_loop().time()
         rows, error = await session.ask(f"r{next(self._ids)}", f"READ {item}")
         if error is not None:
             self.failures += 1
             return
         value = 0 if rows == ["none"] else int(rows[0])
-        self.reads.append(Read(item, value, begun, name, database == "strict"))
+        self.reads.append(Read(item, value, begun, database == "strict"))
 
 
 def check(load, history):
--- a/scripts/lib/platform_soak.py
+++ b/scripts/lib/platform_soak.py
@@ -21,10 +21,12 @@
 PORTS_PER_RUN = 64
 PORT_RANGES = 40
 NODES = 5
-CLIENTS = 12
+CLIENTS = 30
 # The nodes judge primaries three seconds after their start.
 SETTLING_S = 3.5
 RECOVERY_LIMIT_S = 15.0
+# How long a node sleeps at most until the primary has moved.
+HAND_OVER_LIMIT_S = 4.0
 
 
 class Faults:
@@ -41,14 +43,14 @@
                       self._cut_store, self._delay_store, self._store_away,
                       self._lose_store_replies, self._lose_replies,
                       self._crash_server, self._cut_server, self._hold_replica,
-                      self._hand_over)
+                      self._hand_over, self._hand_over, self._hand_over)
 
     async def run(self, seconds):
         end = time.monotonic() + seconds
         running = []
         while time.monotonic() < end:
             running.append(asyncio.create_task(self.rng.choice(self.kinds)()))
-            await asyncio.sleep(self.rng.uniform(0.1, 1.2))
+            await asyncio.sleep(self.rng.uniform(0.05, 0.4))
         await asyncio.gather(*running)
 
     def _note(self, text):
@@ -138,7 +140,8 @@
 
     async def _lose_replies(self):
         self._note("servers lose replies")
-        self.fleet.fault("drop_replies", count=self.rng.randint(1, 5))
+        kind = self.rng.choice(("drop_replies", "cut_replies"))
+        self.fleet.fault(kind, count=self.rng.randint(3, 15))
 
     async def _with_server(self, action):
         server = self._take(self.busy_servers, SERVERS)
@@ -176,10 +179,13 @@
             self._note(f"drain {server}, freeze {node}")
             self.fleet.signal_node(node, signal.SIGSTOP)
             self.fleet.fault("drain", server=server)
-            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            limit = time.monotonic() + HAND_OVER_LIMIT_S
+            while self.fleet.history()["primary"] == server and \
+                    time.monotonic() < limit:
+                await asyncio.sleep(0.02)
             if self.fleet.history()["primary"] != server:
                 self.fleet.fault("hold", server=server)
-                await asyncio.sleep(self.rng.uniform(0.1, 0.5))
+                await asyncio.sleep(self.rng.uniform(0.2, 2.0))
             self.fleet.signal_node(node, signal.SIGCONT)
             await asyncio.sleep(self.rng.uniform(0.2, 1.0))
             self.fleet.fault("undrain", server=server)
