--- a/baobabpin/cluster/ClusterView.h
+++ b/baobabpin/cluster/ClusterView.h
@@ -85,8 +85,8 @@
 ClusterView decodeView(const std::string &text);
 
 /// Adopts \p other if it is not older, and the later of both validation times.
-/// Records of groups and of the duty that \p view holds in a newer revision stay
-/// (see applyGroupChange). Returns whether the contents may have changed.
+/// Records of groups and of the duty that \p view holds in a newer revision
+/// stay (see applyGroupChange). Returns whether the contents may have changed.
 bool mergeView(ClusterView &view, ClusterView other);
 
 /// The records of one group and of the duty as JSON: what a mover tells all
--- a/baobabpin/cluster/FleetPlan.cpp
+++ b/baobabpin/cluster/FleetPlan.cpp
@@ -56,9 +56,8 @@
 bool FleetPlan::isConfirming(const std::string &node) const {
   if (!Large)
     return true;
-  auto end = Watchers.begin() +
-             static_cast<std::ptrdiff_t>(
-                 std::min(Watchers.size(), ConfirmingWatchers));
+  auto end = Watchers.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                    Watchers.size(), ConfirmingWatchers));
   return std::find(Watchers.begin(), end, node) != end;
 }
 
--- a/baobabpin/cluster/FleetPlanTest.cpp
+++ b/baobabpin/cluster/FleetPlanTest.cpp
@@ -56,9 +56,8 @@
   // core could not answer 75 others, so their views ran out.
   for (std::size_t perZone : {10U, 19U, 75U}) {
     auto nodes = makeFleet(4, perZone, 2);
-    std::size_t readers = std::ranges::count_if(nodes, [&](const auto &it) {
-      return planFleet(nodes, it).ReadsStore;
-    });
+    std::size_t readers = std::ranges::count_if(
+        nodes, [&](const auto &it) { return planFleet(nodes, it).ReadsStore; });
     CHECK(readers == 1);
     for (const auto &[name, n] : askersOf(nodes)) {
       CAPTURE(name);
@@ -97,9 +96,8 @@
   CHECK(plan.Watchers.size() == 180);
   for (const auto &[name, n] : askersOf(nodes))
     CHECK(n <= 3 * NodesPerWatcher);
-  std::size_t confirming = std::ranges::count_if(nodes, [&](const auto &it) {
-    return plan.isConfirming(it.Name);
-  });
+  std::size_t confirming = std::ranges::count_if(
+      nodes, [&](const auto &it) { return plan.isConfirming(it.Name); });
   CHECK(confirming == ConfirmingWatchers);
 }
 
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -433,8 +433,8 @@
                    milliseconds fallback) {
     return now - since > (Plan.ReadsStore ? renew : fallback);
   };
-  // In a large fleet the watchers look for a store that is away; all nodes would
-  // be too many. A node reads by itself when its sources are silent.
+  // In a large fleet the watchers look for a store that is away; all nodes
+  // would be too many. A node reads by itself when its sources are silent.
   bool asksOthers = Plan.Large && !Plan.Watches;
   if (asksOthers && now - SourceHeardAt < LargeFallbackAge)
     return;
@@ -472,8 +472,7 @@
   std::ranges::sample(Plan.Watchers, std::back_inserter(names), SampleSize,
                       Random);
   std::ranges::sort(names);
-  auto repeated = std::ranges::unique(names);
-  names.erase(repeated.begin(), repeated.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
   auto targets = peersNamed(names);
   std::ranges::sample(peers(), std::back_inserter(targets), 1, Random);
   return targets;
@@ -598,7 +597,8 @@
     responder->json(400, "{}");
     return;
   }
-  // A pushed record says nothing about its age, so it does not extend the lease.
+  // A pushed record says nothing about its age, so it does not extend the
+  // lease.
   if (!request->Change.empty())
     adoptChange(request->Change, request->Node);
   SyncReply reply;
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -319,9 +319,9 @@
 }
 
 void FailoverService::revokePeer(const MovePtr &move, const PeerNode &peer) {
-  std::string body = encode(RevokeRequest{
-      move->Group, move->Record.Epoch,
-      cluster::encodeGroupChange(Cluster->view(), move->Group)});
+  std::string body = encode(
+      RevokeRequest{move->Group, move->Record.Epoch,
+                    cluster::encodeGroupChange(Cluster->view(), move->Group)});
   Cluster->caller().call(peer.Endpoint, RevokePath, body, RevokeTimeout,
                          [this, weak = std::weak_ptr<Move>(move),
                           peer](const std::optional<std::string> &reply) {
