Keep the registrations of servers in a class of their own

ClusterService held five fields and a long function for them.

Each reply of a peer, several a second, computed the digest of all registrations again, as JSON, although a reply without a list changes none. It is computed when the list changes.

--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -31,8 +31,6 @@
 constexpr milliseconds SyncTimeout{300};
 /// A node whose sources have been silent for this long watches by itself.
 constexpr milliseconds WatchAloneAfter{2500};
-/// The store puts lapsed entries back within two seconds of an outage.
-constexpr milliseconds GoneDelay{2500};
 /// A change whose reply was lost may take effect this much later.
 constexpr milliseconds LateChangeLimit{6500};
 constexpr milliseconds StoreReachableAge{2000};
@@ -54,7 +52,7 @@
 
 ClusterService::ClusterService(platform::HostSettings settings,
                                kernel::LineLog &log)
-    : Settings(std::move(settings)), Log(log) {
+    : Settings(std::move(settings)), Log(log), Directory(log) {
   auto ms = std::chrono::duration_cast<milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   Self = {Settings.Node, static_cast<std::uint64_t>(ms.count())};
@@ -124,12 +122,6 @@
   return Config ? &*Config : nullptr;
 }
 
-std::optional<base::BootTime>
-ClusterService::leavingSince(const base::ServerId &id) const {
-  auto it = LeavingSince.find(id);
-  return it == LeavingSince.end() ? std::nullopt : std::optional(it->second);
-}
-
 cluster::PrimaryUse
 ClusterService::primaryUse(const base::GroupName &group) const {
   auto it = RevokedEpochs.find(group);
@@ -258,54 +250,7 @@
     if (auto server = platform::parseRegistration(it.Key, it.Value))
       servers.push_back(*server);
   }
-  adoptServers(std::move(servers), sentAt);
-}
-
-void ClusterService::adoptServers(
-    std::vector<cluster::ServerRegistration> servers,
-    base::BootTime confirmedAt) {
-  if (confirmedAt <= ServersConfirmedAt)
-    return;
-  ServersConfirmedAt = confirmedAt;
-  auto now = base::BootClock::now();
-  std::map<base::ServerId, cluster::ServerRegistration> fresh;
-  for (const auto &it : servers)
-    fresh.emplace(it.Id, it);
-  LastServers = std::move(servers);
-  ServersDigest = digestOf(LastServers);
-  bool changed = false;
-  for (const auto &[id, it] : fresh) {
-    auto [known, added] = Servers.emplace(id, it);
-    if (!added && known->second == it)
-      continue;
-    changed = true;
-    known->second = it;
-    Log.line("server_registered")
-        .add("server", id)
-        .add("group", it.Group)
-        .add("address", http::formatEndpoint(it.Address))
-        .add("zone", it.Zone)
-        .add("role",
-             it.Role == sql::ServerRole::Primary ? "primary" : "replica")
-        .add("state", it.Draining ? "draining" : "ready");
-  }
-  for (const auto &[id, it] : Servers) {
-    auto entry = fresh.find(id);
-    if (entry != fresh.end() && !entry->second.Draining)
-      LeavingSince.erase(id);
-    else
-      LeavingSince.emplace(id, now);
-  }
-  for (const auto &[id, since] : LeavingSince) {
-    if (fresh.contains(id) || now - since < GoneDelay || !Servers.contains(id))
-      continue;
-    changed = true;
-    Servers.erase(id);
-    Log.line("server_gone").add("server", id).add("missing_ms", now - since);
-  }
-  std::erase_if(LeavingSince,
-                [&](const auto &it) { return !Servers.contains(it.first); });
-  if (changed)
+  if (Directory.adopt(std::move(servers), sentAt, base::BootClock::now()))
     notify();
 }
 
@@ -441,7 +386,7 @@
   if (older(View.StoreSeenAt, RenewAge,
             asksOthers ? LargeFallbackAge : FallbackAge))
     RecordsReader->read();
-  if (older(ServersConfirmedAt, ServersRenewAge, ServersFallbackAge))
+  if (older(Directory.confirmedAt(), ServersRenewAge, ServersFallbackAge))
     ServersReader->read();
   if (older(ConfigConfirmedAt, ConfigRenewAge, ConfigFallbackAge))
     ConfigReader->read();
@@ -538,7 +483,12 @@
   ConfigConfirmedAt =
       std::max(ConfigConfirmedAt, round.SentAt - reply.ConfigAge);
   auto serversConfirmed = round.SentAt - reply.ServersAge;
-  adoptServers(reply.Servers.value_or(LastServers), serversConfirmed);
+  auto now = base::BootClock::now();
+  bool changed = reply.Servers
+                     ? Directory.adopt(*reply.Servers, serversConfirmed, now)
+                     : Directory.confirm(serversConfirmed, now);
+  if (changed)
+    notify();
   for (const auto &[group, it] : reply.Positions)
     Hooks.OnPeerPosition(group, it.Epoch, it.Position, round.SentAt - it.Age);
 }
@@ -556,7 +506,7 @@
   return {.Node = Self.Node,
           .ViewRevision = View.Revision,
           .ViewDigest = ViewDigest,
-          .ServersDigest = ServersDigest,
+          .ServersDigest = Directory.digest(),
           .ConfigVersion = Config ? Config->Version : 0};
 }
 
@@ -613,9 +563,9 @@
   reply.ViewAge = age(View.ValidatedAt);
   reply.StoreAge = age(View.StoreSeenAt);
   reply.ConfigAge = age(ConfigConfirmedAt);
-  reply.ServersAge = age(ServersConfirmedAt);
-  if (request->ServersDigest != ServersDigest)
-    reply.Servers = LastServers;
+  reply.ServersAge = age(Directory.confirmedAt());
+  if (request->ServersDigest != Directory.digest())
+    reply.Servers = Directory.registrations();
   if (Config && Config->Version > request->ConfigVersion)
     reply.Config = ConfigDocument;
   // A process that has not registered by itself may have forgotten a promise
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -13,6 +13,7 @@
 #include "baobabpin/cluster/FleetPlan.h"
 #include "baobabpin/control/PeerCalls.h"
 #include "baobabpin/control/PrefixReader.h"
+#include "baobabpin/control/ServerDirectory.h"
 #include "baobabpin/http/HttpServer.h"
 #include "baobabpin/kernel/Kernel.h"
 #include "baobabpin/kernel/LineLog.h"
@@ -77,10 +78,12 @@
   /// Null until a configuration is known.
   const cluster::Configuration *configuration() const;
   const std::map<base::ServerId, cluster::ServerRegistration> &servers() const {
-    return Servers;
+    return Directory.servers();
   }
   /// When a server's registration was first missing or draining.
-  std::optional<base::BootTime> leavingSince(const base::ServerId &id) const;
+  std::optional<base::BootTime> leavingSince(const base::ServerId &id) const {
+    return Directory.leavingSince(id);
+  }
   cluster::PrimaryUse primaryUse(const base::GroupName &group) const;
   std::chrono::nanoseconds viewAge() const;
   /// The store itself confirmed the view recently.
@@ -125,8 +128,6 @@
                     std::uint64_t revision, base::BootTime sentAt);
   void onServerEntries(const std::vector<store::StoreEntry> &entries,
                        base::BootTime sentAt);
-  void adoptServers(std::vector<cluster::ServerRegistration> servers,
-                    base::BootTime confirmedAt);
   void onConfiguration(const std::vector<store::StoreEntry> &entries,
                        base::BootTime sentAt);
   bool adoptConfiguration(const std::string &document, std::string_view source);
@@ -176,16 +177,11 @@
   cluster::FleetPlan Plan;
   /// When one of Plan.Sources last answered.
   base::BootTime SourceHeardAt{};
-  /// The registrations of the last snapshot, without those that are missing.
-  std::vector<cluster::ServerRegistration> LastServers;
-  std::uint64_t ServersDigest = 0;
-  base::BootTime ServersConfirmedAt{};
+  ServerDirectory Directory;
   base::BootTime ConfigConfirmedAt{};
   std::map<base::GroupName, std::uint64_t> RevokedEpochs;
   std::optional<cluster::Configuration> Config;
   std::string ConfigDocument;
-  std::map<base::ServerId, cluster::ServerRegistration> Servers;
-  std::map<base::ServerId, base::BootTime> LeavingSince;
   base::BootTime StoreConfirmedAt{};
   base::BootTime LastSync{};
   /// The last round that asked more than the usual sources.
