Decode peers' calls in one place, and build record keys in one

Three handlers each decoded the body and refused what cannot be read; one template does. Merging a whole view and a single record shared all but one line. The keys of nodes were put together in three places. Two members that nothing reads are gone.

--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -1,5 +1,6 @@
 #include "baobabpin/control/ClusterService.h"
 
+#include "baobabpin/control/RecordKeys.h"
 #include "platform/Documents.h"
 
 #include <algorithm>
@@ -37,6 +38,7 @@
 /// In a large fleet, a node that looks for a fresher view asks so many beside
 /// its sources.
 constexpr std::size_t SampleSize = 3;
+constexpr int HttpBadRequest = 400;
 
 } // namespace
 
@@ -63,7 +65,6 @@
 ClusterService::~ClusterService() = default;
 
 base::Result<void> ClusterService::start(kernel::Kernel &kernel) {
-  Kernel = &kernel;
   auto &loop = kernel.loop();
   Store = std::make_unique<platform::PlatformStore>(loop, kernel.metrics(),
                                                     Settings.Store);
@@ -205,22 +206,26 @@
 
 void ClusterService::adoptView(cluster::ClusterView view,
                                std::string_view source) {
-  auto before = View.Groups;
-  if (cluster::mergeView(View, std::move(view)))
-    afterViewChange(before, source);
+  updateView(source, [&](cluster::ClusterView &known) {
+    return cluster::mergeView(known, std::move(view));
+  });
 }
 
 void ClusterService::adoptChange(const std::string &change,
                                  std::string_view source) {
-  auto before = View.Groups;
-  if (cluster::applyGroupChange(View, change))
-    afterViewChange(before, source);
+  if (change.empty())
+    return;
+  updateView(source, [&](cluster::ClusterView &known) {
+    return cluster::applyGroupChange(known, change);
+  });
 }
 
-void ClusterService::afterViewChange(
-    const std::map<base::GroupName, cluster::Versioned<cluster::GroupRecord>>
-        &before,
-    std::string_view source) {
+void ClusterService::updateView(
+    std::string_view source,
+    const std::function<bool(cluster::ClusterView &)> &merge) {
+  auto before = View.Groups;
+  if (!merge(View))
+    return;
   auto digest = cluster::digestOf(View);
   if (std::exchange(ViewDigest, digest) == digest)
     return;
@@ -304,8 +309,7 @@
                              .Zone = Settings.Zone,
                              .Capacity = Settings.Capacity};
   std::uint64_t revision = it == View.Nodes.end() ? 0 : it->second.Revision;
-  change({{std::string(platform::OwnPrefix) + cluster::NodeKeyPart + Self.Node,
-           cluster::encodeRecord(record), revision, false}},
+  change({{nodeKey(Self.Node), cluster::encodeRecord(record), revision, false}},
          [this](const store::StoreReply &reply) {
            Registering = false;
            Log.line("node_registered")
@@ -319,10 +323,7 @@
   if (it == View.Nodes.end() ||
       it->second.Value.Incarnation != Self.Incarnation)
     return;
-  change({{std::string(platform::OwnPrefix) + cluster::NodeKeyPart + Self.Node,
-           {},
-           it->second.Revision,
-           true}},
+  change({{nodeKey(Self.Node), {}, it->second.Revision, true}},
          [](const store::StoreReply &) {});
 }
 
@@ -526,35 +527,34 @@
 }
 
 void ClusterService::servePeers() {
-  PeerServer->handle(SyncPath, [this](const http::HttpRequest &request,
-                                      const http::ResponderPtr &responder) {
-    onSync(request.Body, responder);
-  });
-  PeerServer->handle(RevokePath, [this](const http::HttpRequest &request,
-                                        const http::ResponderPtr &responder) {
-    onRevoke(request.Body, responder);
-  });
-  PeerServer->handle(EvidencePath, [this](const http::HttpRequest &request,
-                                          const http::ResponderPtr &responder) {
-    onEvidence(request.Body, responder);
-  });
-}
-
-void ClusterService::onSync(const std::string &body,
+  serve(SyncPath, decodeSyncRequest, &ClusterService::onSync);
+  serve(RevokePath, decodeRevokeRequest, &ClusterService::onRevoke);
+  serve(EvidencePath, decodeEvidenceRequest, &ClusterService::onEvidence);
+}
+
+template <typename Request>
+void ClusterService::serve(
+    const char *path, std::optional<Request> (*decode)(const std::string &body),
+    void (ClusterService::*handler)(const Request &,
+                                    const http::ResponderPtr &)) {
+  PeerServer->handle(
+      path, [this, decode, handler](const http::HttpRequest &call,
+                                    const http::ResponderPtr &responder) {
+        if (auto request = decode(call.Body))
+          (this->*handler)(*request, responder);
+        else
+          responder->json(HttpBadRequest, "{}");
+      });
+}
+
+void ClusterService::onSync(const SyncRequest &request,
                             const http::ResponderPtr &responder) {
-  auto request = decodeSyncRequest(body);
-  if (!request) {
-    responder->json(400, "{}");
-    return;
-  }
   // A pushed record says nothing about its age, so it does not extend the
   // lease.
-  if (!request->Change.empty())
-    adoptChange(request->Change, request->Node);
+  adoptChange(request.Change, request.Node);
   SyncReply reply;
   reply.ViewRevision = View.Revision;
-  if (View.Revision >= request->ViewRevision &&
-      ViewDigest != request->ViewDigest)
+  if (View.Revision >= request.ViewRevision && ViewDigest != request.ViewDigest)
     reply.View = cluster::encodeView(View);
   auto now = base::BootClock::now();
   auto age = [now](base::BootTime since) {
@@ -564,9 +564,9 @@
   reply.StoreAge = age(View.StoreSeenAt);
   reply.ConfigAge = age(ConfigConfirmedAt);
   reply.ServersAge = age(Directory.confirmedAt());
-  if (request->ServersDigest != Directory.digest())
+  if (request.ServersDigest != Directory.digest())
     reply.Servers = Directory.registrations();
-  if (Config && Config->Version > request->ConfigVersion)
+  if (Config && Config->Version > request.ConfigVersion)
     reply.Config = ConfigDocument;
   // A process that has not registered by itself may have forgotten a promise
   // that its host gave before a restart.
@@ -577,33 +577,22 @@
   responder->json(200, encode(reply));
 }
 
-void ClusterService::onRevoke(const std::string &body,
+void ClusterService::onRevoke(const RevokeRequest &request,
                               const http::ResponderPtr &responder) {
-  auto request = decodeRevokeRequest(body);
-  if (!request) {
-    responder->json(400, "{}");
-    return;
-  }
-  revoke(request->Group, request->Epoch);
-  if (!request->Change.empty())
-    adoptChange(request->Change, "revoke");
-  Hooks.DrainPrimary(request->Group,
+  revoke(request.Group, request.Epoch);
+  adoptChange(request.Change, "revoke");
+  Hooks.DrainPrimary(request.Group,
                      [responder] { responder->json(200, "{}"); });
 }
 
-void ClusterService::onEvidence(const std::string &body,
+void ClusterService::onEvidence(const EvidenceRequest &request,
                                 const http::ResponderPtr &responder) {
-  auto request = decodeEvidenceRequest(body);
-  if (!request) {
-    responder->json(400, "{}");
-    return;
-  }
   // Only a suspicion makes this node ask in turn, or two nodes would go on
   // asking each other.
-  if (request->Suspected)
-    Hooks.OnEvidenceAsked(request->Group);
-  EvidenceReply reply{Hooks.PrimaryHeard(request->Group), isStoreReachable(),
-                      Hooks.IsMoving(request->Group)};
+  if (request.Suspected)
+    Hooks.OnEvidenceAsked(request.Group);
+  EvidenceReply reply{Hooks.PrimaryHeard(request.Group), isStoreReachable(),
+                      Hooks.IsMoving(request.Group)};
   responder->json(200, encode(reply));
 }
 
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -121,9 +121,17 @@
   struct SyncRound;
 
   void servePeers();
-  void onSync(const std::string &body, const http::ResponderPtr &responder);
-  void onRevoke(const std::string &body, const http::ResponderPtr &responder);
-  void onEvidence(const std::string &body, const http::ResponderPtr &responder);
+  /// Decodes the calls at \p path; what cannot be read is refused.
+  template <typename Request>
+  void serve(const char *path,
+             std::optional<Request> (*decode)(const std::string &body),
+             void (ClusterService::*handler)(const Request &,
+                                             const http::ResponderPtr &));
+  void onSync(const SyncRequest &request, const http::ResponderPtr &responder);
+  void onRevoke(const RevokeRequest &request,
+                const http::ResponderPtr &responder);
+  void onEvidence(const EvidenceRequest &request,
+                  const http::ResponderPtr &responder);
   void onOwnRecords(const std::vector<store::StoreEntry> &entries,
                     std::uint64_t revision, base::BootTime sentAt);
   void onServerEntries(const std::vector<store::StoreEntry> &entries,
@@ -146,12 +154,11 @@
   std::vector<PeerNode> sampleTargets();
   /// The endpoints of registered nodes among \p names, without this node.
   std::vector<PeerNode> peersNamed(const std::vector<std::string> &names) const;
-  /// A reply or a push of a peer may bring newer records of a group.
+  /// A call of a peer may bring newer records of a group; empty: it does not.
   void adoptChange(const std::string &change, std::string_view source);
-  void afterViewChange(
-      const std::map<base::GroupName, cluster::Versioned<cluster::GroupRecord>>
-          &before,
-      std::string_view source);
+  /// Runs \p merge on the view; logs and notifies when it changed the records.
+  void updateView(std::string_view source,
+                  const std::function<bool(cluster::ClusterView &)> &merge);
   void onSyncReply(const std::shared_ptr<SyncRound> &round,
                    const std::string &peer,
                    const std::optional<std::string> &body);
@@ -163,7 +170,6 @@
 
   platform::HostSettings Settings;
   kernel::LineLog &Log;
-  kernel::Kernel *Kernel = nullptr;
   cluster::NodeIdentity Self;
   std::unique_ptr<platform::PlatformStore> Store;
   std::unique_ptr<PrefixReader> RecordsReader;
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -1,6 +1,6 @@
 #include "baobabpin/control/FailoverService.h"
 
-#include "platform/Documents.h"
+#include "baobabpin/control/RecordKeys.h"
 #include "platform/Wire.h"
 
 #include <algorithm>
@@ -32,10 +32,6 @@
 constexpr milliseconds TokenFreshness =
     cluster::PrimaryLease - milliseconds(500);
 
-std::string groupKey(const base::GroupName &group) {
-  return std::string(platform::OwnPrefix) + cluster::GroupKeyPart + group;
-}
-
 /// What a server reported; empty without a whole report.
 std::optional<sql::ServerStatus> statusOf(const std::optional<sql::Reply> &it) {
   if (!it || !it->succeeded() || it->Rows.empty())
@@ -43,10 +39,6 @@
   return platform::parseStatusRow(it->Rows.front());
 }
 
-std::string dutyKey() {
-  return std::string(platform::OwnPrefix) + cluster::DutyKeyPart;
-}
-
 } // namespace
 
 struct FailoverService::Move {
--- a/baobabpin/control/NodeRetirement.cpp
+++ b/baobabpin/control/NodeRetirement.cpp
@@ -1,6 +1,6 @@
 #include "baobabpin/control/NodeRetirement.h"
 
-#include "platform/Documents.h"
+#include "baobabpin/control/RecordKeys.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,10 +15,6 @@
 constexpr int SuccessorMissLimit = 3;
 constexpr milliseconds RemovalPeriod{500};
 
-std::string nodeKey(const std::string &node) {
-  return std::string(platform::OwnPrefix) + cluster::NodeKeyPart + node;
-}
-
 } // namespace
 
 base::Result<void> NodeRetirement::start(kernel::Kernel &kernel) {
--- a/baobabpin/control/PrefixReader.cpp
+++ b/baobabpin/control/PrefixReader.cpp
@@ -58,6 +58,4 @@
     Impl->read();
 }
 
-bool PrefixReader::isReading() const { return Impl->Reading; }
-
 } // namespace baobabpin::control
--- a/baobabpin/control/PrefixReader.h
+++ b/baobabpin/control/PrefixReader.h
@@ -38,7 +38,6 @@
   /// Reads now, or again after the read that is under way, which may be too
   /// old to show a change that was just made.
   void readAfterChange();
-  bool isReading() const;
 
 private:
   struct State;
--- /dev/null
+++ b/baobabpin/control/RecordKeys.h
@@ -0,0 +1,24 @@
+/// Keys of the nodes' own records in the store.
+#pragma once
+
+#include "baobabpin/cluster/ClusterView.h"
+#include "platform/Documents.h"
+
+#include <string>
+
+namespace baobabpin::control {
+
+inline std::string nodeKey(const std::string &node) {
+  return std::string(platform::OwnPrefix) + cluster::NodeKeyPart + node;
+}
+
+inline std::string groupKey(const base::GroupName &group) {
+  return std::string(platform::OwnPrefix) + cluster::GroupKeyPart + group;
+}
+
+/// Of the holder of the promotion duty.
+inline std::string dutyKey() {
+  return std::string(platform::OwnPrefix) + cluster::DutyKeyPart;
+}
+
+} // namespace baobabpin::control
