--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -61,7 +61,7 @@
   }
   // Whoever waits has no idle connection, or may not be given one; so this work
   // overtakes nobody who needs the same.
-  if (mayGrantTo(*waiter)) {
+  if (mayGrant(use(), Share, waiter->Kind)) {
     if (LinkPtr link = takeIdleFor(*waiter)) {
       grant(link, waiter);
       return;
@@ -113,10 +113,6 @@
   return link;
 }
 
-bool ServerPool::mayGrantTo(const Waiter &waiter) const {
-  return mayGrant(use(), Share, waiter.Kind);
-}
-
 void ServerPool::grant(const LinkPtr &link, const WaiterPtr &waiter) {
   link->GivenTo = waiter->Kind;
   Busy.push_back(link);
@@ -152,8 +148,10 @@
 
 void ServerPool::serveWaiting() {
   while (!Idle.empty()) {
-    auto next = std::ranges::find_if(
-        Waiting, [&](const WaiterPtr &it) { return mayGrantTo(*it); });
+    auto next =
+        std::ranges::find_if(Waiting, [this, now = use()](const auto &it) {
+          return mayGrant(now, Share, it->Kind);
+        });
     if (next == Waiting.end())
       break;
     WaiterPtr waiter = *next;
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -101,7 +101,6 @@
   LinkPtr takeIdleFor(const Waiter &waiter);
   PoolCounts counts() const;
   PoolUse use() const;
-  bool mayGrantTo(const Waiter &waiter) const;
 
   kernel::EventLoop &Loop;
   cluster::ServerRegistration Server;
