--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -224,10 +224,7 @@
   hooks.PrimaryHeard =
       [this](const base::GroupName &name) -> std::optional<milliseconds> {
     auto it = group(name);
-    auto age = it ? it->observePrimary().HeardAge : std::nullopt;
-    if (!age)
-      return std::nullopt;
-    return std::chrono::ceil<milliseconds>(*age);
+    return it ? it->primaryHeardAge() : std::nullopt;
   };
   hooks.DrainPrimary = [this](const base::GroupName &name,
                               std::function<void()> done) {
@@ -238,14 +235,9 @@
   };
   hooks.Positions = [this] {
     std::map<base::GroupName, control::PositionReport> reports;
-    auto now = base::BootClock::now();
     for (const auto &[name, it] : Groups) {
-      const auto &history = it->history();
-      if (history.Samples.empty())
-        continue;
-      const auto &last = history.Samples.back();
-      reports[name] = {history.Epoch, last.Position,
-                       std::chrono::ceil<milliseconds>(now - last.SentAt)};
+      if (auto report = it->positionReport())
+        reports[name] = *report;
     }
     return reports;
   };
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -183,25 +183,24 @@
       pool->maintain(now);
   }
   auto choice = primary();
+  bool often = probesOften(choice);
   if (choice.Pool)
-    probePrimary(choice, now);
-  auto limit = probesOften() ? 3 * ProbePeriod : 3 * UnwatchedProbeAge / 2;
+    probePrimary(choice, often, now);
+  auto limit = often ? 3 * ProbePeriod : 3 * UnwatchedProbeAge / 2;
   bool fresh =
       !History.Samples.empty() && now - History.Samples.back().SentAt < limit;
   if (!fresh)
     Cluster.wantPositions();
 }
 
-bool GroupProxy::probesOften() const {
-  if (Cluster.isWatching())
-    return true;
-  auto choice = primary();
-  return choice.Pool &&
-         Routes.reach(choice.Pool->server()) != ServerReach::Guest;
+bool GroupProxy::probesOften(const PrimaryChoice &choice) const {
+  return Cluster.isWatching() ||
+         (choice.Pool &&
+          Routes.reach(choice.Pool->server()) != ServerReach::Guest);
 }
 
-void GroupProxy::probePrimary(const PrimaryChoice &choice, base::BootTime now) {
-  bool often = probesOften();
+void GroupProxy::probePrimary(const PrimaryChoice &choice, bool often,
+                              base::BootTime now) {
   bool recent = History.Epoch == choice.Epoch && !History.Samples.empty() &&
                 now - History.Samples.back().SentAt <
                     (often ? ProbePeriod : UnwatchedProbeAge);
@@ -318,6 +317,22 @@
   *timer = Loop.runAfter(DrainLimit, [run, timer] { run(); });
 }
 
+std::optional<control::PositionReport> GroupProxy::positionReport() const {
+  if (History.Samples.empty())
+    return std::nullopt;
+  const auto &last = History.Samples.back();
+  return control::PositionReport{
+      History.Epoch, last.Position,
+      std::chrono::ceil<milliseconds>(base::BootClock::now() - last.SentAt)};
+}
+
+std::optional<milliseconds> GroupProxy::primaryHeardAge() const {
+  auto age = observePrimary().HeardAge;
+  if (!age)
+    return std::nullopt;
+  return std::chrono::ceil<milliseconds>(*age);
+}
+
 cluster::PrimaryObservation GroupProxy::observePrimary() const {
   cluster::PrimaryObservation it;
   auto record = Cluster.view().Groups.find(Name);
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -67,6 +67,8 @@
   void observe(pooling::ServerPool &pool, base::BootTime sentAt,
                const sql::Reply &reply, std::optional<std::uint64_t> epoch);
   const cluster::PositionHistory &history() const { return History; }
+  /// The primary's latest known position; empty if none is known.
+  std::optional<control::PositionReport> positionReport() const;
   /// Notes a position that the primary of \p epoch had reported by \p sentAt.
   void addSample(std::uint64_t epoch, base::BootTime sentAt,
                  base::LogPosition position);
@@ -90,12 +92,15 @@
   admission::RetryBudget &slowReadBudget() { return SlowReadBudget; }
 
   cluster::PrimaryObservation observePrimary() const;
+  /// Time since the primary last answered this node; empty if it never did.
+  std::optional<std::chrono::milliseconds> primaryHeardAge() const;
   const base::GroupName &name() const { return Name; }
 
 private:
   /// Whether this node asks the primary itself or its owner at short intervals.
-  bool probesOften() const;
-  void probePrimary(const PrimaryChoice &choice, base::BootTime now);
+  bool probesOften(const PrimaryChoice &choice) const;
+  void probePrimary(const PrimaryChoice &choice, bool often,
+                    base::BootTime now);
   void probeDirectly(const PrimaryChoice &choice, const pooling::LinkPtr &link);
   void probeThroughOwner(const ChannelPtr &channel, std::uint64_t epoch);
   pooling::ConnectionShare shareOf(const cluster::ServerRegistration &server);
--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -38,18 +38,9 @@
   Client(RelayServer &owner) : Owner(owner) {}
 
   void start(int fd) {
-    net::LineHandlers handlers;
-    std::weak_ptr<Client> weak = weak_from_this();
-    handlers.OnLine = [weak](std::string_view line) {
-      if (auto self = weak.lock())
-        self->onLine(line);
-    };
-    handlers.OnClosed = [weak] {
-      if (auto self = weak.lock())
-        self->end();
-    };
-    Connection =
-        net::LineConnection::adopt(Owner.Loop, fd, std::move(handlers));
+    Connection = net::LineConnection::adopt(
+        Owner.Loop, fd,
+        net::handlersOf(shared_from_this(), &Client::onLine, &Client::end));
   }
 
   void sweep(base::BootTime now, std::chrono::nanoseconds limit) {
@@ -194,16 +185,12 @@
   void probe(const relay::Request &request) {
     relay::Reply reply;
     if (auto group = Owner.FindGroup(request.Group)) {
-      auto now = base::BootClock::now();
-      const auto &history = group->history();
-      reply.Epoch = history.Epoch;
-      if (!history.Samples.empty()) {
-        reply.Position = history.Samples.back().Position;
-        reply.PositionAge = std::chrono::ceil<milliseconds>(
-            now - history.Samples.back().SentAt);
+      if (auto report = group->positionReport()) {
+        reply.Epoch = report->Epoch;
+        reply.Position = report->Position;
+        reply.PositionAge = report->Age;
       }
-      if (auto age = group->observePrimary().HeardAge)
-        reply.HeardAge = std::chrono::ceil<milliseconds>(*age);
+      reply.HeardAge = group->primaryHeardAge();
     }
     send(request, std::move(reply));
   }
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -23,18 +23,9 @@
 Session::Session(SessionContext &context, int fd) : Context(context), Fd(fd) {}
 
 void Session::start() {
-  net::LineHandlers handlers;
-  std::weak_ptr<Session> weak = weak_from_this();
-  handlers.OnLine = [weak](std::string_view line) {
-    if (auto self = weak.lock())
-      self->onLine(line);
-  };
-  handlers.OnClosed = [weak] {
-    if (auto self = weak.lock())
-      self->end();
-  };
-  Connection =
-      net::LineConnection::adopt(Context.Loop, Fd, std::move(handlers));
+  Connection = net::LineConnection::adopt(
+      Context.Loop, Fd,
+      net::handlersOf(shared_from_this(), &Session::onLine, &Session::end));
 }
 
 void Session::onLine(std::string_view line) {
@@ -161,10 +152,7 @@
 void Session::onQuery(const platform::ClientQuery &query) {
   auto statement = platform::parseStatement(query.Text);
   if (!Opened || !statement) {
-    if (Transaction && !Transaction->Failed) {
-      releaseTransactionLink();
-      Transaction->Failed = true;
-    }
+    failTransaction();
     replyError(ErrorCode::Malformed, "statement");
     return;
   }
@@ -261,10 +249,7 @@
   if (it.Kind == Verb::Execute) {
     auto found = Prepared.find(it.Name);
     if (found == Prepared.end()) {
-      if (Transaction) {
-        releaseTransactionLink();
-        Transaction->Failed = true;
-      }
+      failTransaction();
       replyError(ErrorCode::UnknownName, it.Name);
       return;
     }
@@ -339,6 +324,13 @@
   processNext();
 }
 
+void Session::failTransaction() {
+  if (!Transaction)
+    return;
+  releaseTransactionLink();
+  Transaction->Failed = true;
+}
+
 void Session::endTransaction() {
   releaseTransactionLink();
   Transaction.reset();
@@ -369,8 +361,7 @@
       .add("database", Database)
       .add("reason", reason)
       .add("idle_ms", base::BootClock::now() - Transaction->LastActive);
-  releaseTransactionLink();
-  Transaction->Failed = true;
+  failTransaction();
   Transaction->PendingAbort = reason;
 }
 
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -76,6 +76,8 @@
   void execute(const std::string &id, sql::Statement it);
   void onRunDone(const cluster::Route &route, sql::Verb verb, bool writes,
                  base::BootTime arrived, RunResult result);
+  /// Rolls back; until the client ends the transaction, it only gets errors.
+  void failTransaction();
   void endTransaction();
   void releaseTransactionLink();
   /// The route of this session's database, if it is configured.
--- a/baobabpin/net/LineConnection.cpp
+++ b/baobabpin/net/LineConnection.cpp
@@ -74,11 +74,8 @@
       nullptr,
       [](bufferevent *, short what, void *arg) {
         auto self = static_cast<LineConnection *>(arg)->shared_from_this();
-        if (what & BEV_EVENT_CONNECTED) {
-          if (self->Handlers.OnConnected)
-            self->Handlers.OnConnected();
+        if (what & BEV_EVENT_CONNECTED)
           return;
-        }
         // Data that arrived before the end may still hold a whole reply.
         self->readLines();
         self->fail();
--- a/baobabpin/net/LineConnection.h
+++ b/baobabpin/net/LineConnection.h
@@ -25,13 +25,29 @@
 
 /// Handlers may close or release the connection.
 struct LineHandlers {
-  std::function<void()> OnConnected;
   std::function<void(std::string_view line)> OnLine;
   /// The peer closed, the connection broke, or a line was too long. Not called
   /// after close().
   std::function<void()> OnClosed;
 };
 
+/// Handlers that call \p onLine and \p onClosed of \p owner, and do nothing
+/// once it is gone, so that a connection does not keep its owner alive.
+template <typename Owner>
+LineHandlers handlersOf(const std::shared_ptr<Owner> &owner,
+                        void (Owner::*onLine)(std::string_view line),
+                        void (Owner::*onClosed)()) {
+  std::weak_ptr<Owner> weak = owner;
+  return {[weak, onLine](std::string_view line) {
+            if (auto self = weak.lock())
+              (self.get()->*onLine)(line);
+          },
+          [weak, onClosed] {
+            if (auto self = weak.lock())
+              (self.get()->*onClosed)();
+          }};
+}
+
 class LineConnection : public std::enable_shared_from_this<LineConnection> {
 public:
   static std::shared_ptr<LineConnection> connect(kernel::EventLoop &loop,
--- a/baobabpin/pooling/ServerLink.cpp
+++ b/baobabpin/pooling/ServerLink.cpp
@@ -17,19 +17,11 @@
                                              OpenCallback callback) {
   std::shared_ptr<ServerLink> it(new ServerLink);
   it->OnOpen = std::move(callback);
-  std::weak_ptr<ServerLink> weak = it;
-  net::LineHandlers handlers;
-  handlers.OnLine = [weak](std::string_view line) {
-    if (auto self = weak.lock())
-      self->onLine(line);
-  };
-  handlers.OnClosed = [weak] {
-    if (auto self = weak.lock())
-      self->onClosed();
-  };
-  it->Connection = net::LineConnection::connect(loop, endpoint, handlers);
+  it->Connection = net::LineConnection::connect(
+      loop, endpoint,
+      net::handlersOf(it, &ServerLink::onLine, &ServerLink::onClosed));
   it->Connection->send(platform::formatConnect(group, server));
-  it->OpenDeadline = loop.runAfter(OpenTimeout, [weak] {
+  it->OpenDeadline = loop.runAfter(OpenTimeout, [weak = std::weak_ptr(it)] {
     if (auto self = weak.lock())
       self->onClosed();
   });
--- a/baobabpin/relay/Channel.cpp
+++ b/baobabpin/relay/Channel.cpp
@@ -21,18 +21,8 @@
                                        const http::Endpoint &owner) {
   std::shared_ptr<Channel> it(new Channel);
   it->LastHeard = base::BootClock::now();
-  std::weak_ptr<Channel> weak = it;
-  net::LineHandlers handlers;
-  handlers.OnLine = [weak](std::string_view line) {
-    if (auto self = weak.lock())
-      self->onLine(line);
-  };
-  handlers.OnClosed = [weak] {
-    if (auto self = weak.lock())
-      self->fail();
-  };
-  it->Connection =
-      net::LineConnection::connect(loop, owner, std::move(handlers));
+  it->Connection = net::LineConnection::connect(
+      loop, owner, net::handlersOf(it, &Channel::onLine, &Channel::fail));
   return it;
 }
 
