--- a/scripts/lib/platform_clients.py
+++ b/scripts/lib/platform_clients.py
@@ -8,6 +8,8 @@
 import dataclasses
 import itertools
 
+from platform_fleet import CLIENTS
+
 # These errors say that nothing of the attempt is kept.
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
 REPLY_LIMIT_S = 6.0
@@ -100,7 +102,7 @@
             database = self.random.choice(("strict", "own"))
             try:
                 session = await Session.open(
-                    self.fleet.port(0, node), database)
+                    self.fleet.port(CLIENTS, node), database)
             except Disconnected:
                 await asyncio.sleep(0.1)
                 continue
--- a/scripts/lib/platform_soak.py
+++ b/scripts/lib/platform_soak.py
@@ -65,14 +65,20 @@
         busy.add(name)
         return name
 
-    async def _with_node(self, action):
-        node = self._take(self.busy_nodes, self.fleet.nodes)
-        if node is None:
+    async def _with_one(self, busy, names, action):
+        name = self._take(busy, names)
+        if name is None:
             return
         try:
-            await action(node)
+            await action(name)
         finally:
-            self.busy_nodes.discard(node)
+            busy.discard(name)
+
+    async def _with_node(self, action):
+        await self._with_one(self.busy_nodes, self.fleet.nodes, action)
+
+    async def _with_server(self, action):
+        await self._with_one(self.busy_servers, SERVERS, action)
 
     async def _freeze(self):
         async def action(node):
@@ -110,19 +116,17 @@
         await asyncio.sleep(self.rng.uniform(0.3, 4.0))
         self.fleet.set_rule(link)
 
+    async def _cut(self, link):
+        drop = self.rng.choice(("both", "to_target", "to_source"))
+        heal = self.rng.choice(("resume", "reset"))
+        await self._rule(link, f"cut ({drop}, {heal})", drop=drop, heal=heal)
+
     async def _cut_store(self):
-        async def action(node):
-            drop = self.rng.choice(("both", "to_target", "to_source"))
-            heal = self.rng.choice(("resume", "reset"))
-            await self._rule("store-" + node, f"cut ({drop}, {heal})",
-                             drop=drop, heal=heal)
-        await self._with_node(action)
+        await self._with_node(lambda node: self._cut("store-" + node))
 
     async def _delay_store(self):
-        async def action(node):
-            await self._rule("store-" + node, "delay", delay_ms=60,
-                             jitter_ms=200)
-        await self._with_node(action)
+        await self._with_node(lambda node: self._rule(
+            "store-" + node, "delay", delay_ms=60, jitter_ms=200))
 
     async def _store_away(self):
         if self.store_busy:
@@ -143,15 +147,6 @@
         kind = self.rng.choice(("drop_replies", "cut_replies"))
         self.fleet.fault(kind, count=self.rng.randint(3, 15))
 
-    async def _with_server(self, action):
-        server = self._take(self.busy_servers, SERVERS)
-        if server is None:
-            return
-        try:
-            await action(server)
-        finally:
-            self.busy_servers.discard(server)
-
     async def _crash_server(self):
         async def action(server):
             self._note(f"crash {server}")
@@ -161,12 +156,7 @@
         await self._with_server(action)
 
     async def _cut_server(self):
-        async def action(server):
-            drop = self.rng.choice(("both", "to_target", "to_source"))
-            heal = self.rng.choice(("resume", "reset"))
-            await self._rule(server, f"cut ({drop}, {heal})", drop=drop,
-                             heal=heal)
-        await self._with_server(action)
+        await self._with_server(self._cut)
 
     async def _hand_over(self):
         """A node sleeps while the primary, which stays, becomes a replica that
