--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -178,20 +178,13 @@
     const http::Endpoint &peer, const std::string &path,
     const std::string &body, std::chrono::milliseconds timeout,
     const std::function<void(std::optional<std::string>)> &callback) {
-  auto &connections = Connections[peer];
-  http::HttpConnection *idle = nullptr;
-  for (auto &it : connections) {
-    if (!it->isBusy())
-      idle = it.get();
-  }
-  if (!idle) {
-    connections.push_back(std::make_unique<http::HttpConnection>(Loop, peer));
-    idle = connections.back().get();
-  }
-  idle->post(path, body, timeout, [callback](http::HttpReply reply) {
-    bool ok = reply.Result == http::Transfer::Completed && reply.Status == 200;
-    callback(ok ? std::optional(std::move(reply.Body)) : std::nullopt);
-  });
+  auto &connections = Connections.try_emplace(peer, Loop, peer).first->second;
+  connections.idle()->post(
+      path, body, timeout, [callback](http::HttpReply reply) {
+        bool ok =
+            reply.Result == http::Transfer::Completed && reply.Status == 200;
+        callback(ok ? std::optional(std::move(reply.Body)) : std::nullopt);
+      });
 }
 
 } // namespace baobabpin::control
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -5,7 +5,7 @@
 #include "baobabpin/base/BootClock.h"
 #include "baobabpin/cluster/ClusterView.h"
 #include "baobabpin/cluster/PositionHistory.h"
-#include "baobabpin/http/HttpClient.h"
+#include "baobabpin/http/ConnectionPool.h"
 #include "baobabpin/kernel/EventLoop.h"
 
 #include <chrono>
@@ -108,8 +108,7 @@
 
 private:
   kernel::EventLoop &Loop;
-  std::map<http::Endpoint, std::vector<std::unique_ptr<http::HttpConnection>>>
-      Connections;
+  std::map<http::Endpoint, http::ConnectionPool> Connections;
 };
 
 } // namespace baobabpin::control
--- a/baobabpin/store/StoreClient.cpp
+++ b/baobabpin/store/StoreClient.cpp
@@ -1,5 +1,6 @@
 #include "baobabpin/store/StoreClient.h"
 
+#include "baobabpin/http/ConnectionPool.h"
 #include "baobabpin/store/StoreMessages.h"
 
 #include <deque>
@@ -47,14 +48,12 @@
 struct StoreClient::State : std::enable_shared_from_this<StoreClient::State> {
   State(kernel::EventLoop &loop, kernel::Metrics &metrics,
         http::Endpoint endpoint, StoreTimeouts timeouts)
-      : Loop(loop), Metrics(metrics), Endpoint(std::move(endpoint)),
-        Timeouts(timeouts) {}
+      : Metrics(metrics), Timeouts(timeouts),
+        Connections(loop, std::move(endpoint), MaxConnections) {}
 
-  kernel::EventLoop &Loop;
   kernel::Metrics &Metrics;
-  http::Endpoint Endpoint;
   StoreTimeouts Timeouts;
-  std::vector<std::unique_ptr<http::HttpConnection>> Connections;
+  http::ConnectionPool Connections;
   std::deque<Call> Waiting;
 
   void submit(Call call) {
@@ -64,7 +63,7 @@
 
   void startWaiting() {
     while (!Waiting.empty()) {
-      http::HttpConnection *connection = idleConnection();
+      http::HttpConnection *connection = Connections.idle();
       if (!connection)
         return;
       Call call = std::move(Waiting.front());
@@ -73,18 +72,6 @@
     }
   }
 
-  http::HttpConnection *idleConnection() {
-    for (auto &it : Connections) {
-      if (!it->isBusy())
-        return it.get();
-    }
-    if (Connections.size() == MaxConnections)
-      return nullptr;
-    Connections.push_back(
-        std::make_unique<http::HttpConnection>(Loop, Endpoint));
-    return Connections.back().get();
-  }
-
   void start(http::HttpConnection &connection, Call call) {
     std::string path = call.Path;
     std::string body = call.Body.is_null() ? "" : call.Body.dump();
