Distribute the configuration as compressed patches in paced pieces

Cause: every synchronisation carried the whole document, and a read of it had to end within 800 ms. On links of 2 Mbit/s no read of 1,500 routes completed, each attempt started again, and the same links carry the renewal of leases. Change: the reader asks the store with a conditional change that changes nothing; other nodes learn the version from synchronisations and fetch a zstd patch (package distribution) in pieces of 8 KB, from the first monitor of their zone. Pieces are paced to 65% of the link, and the read from the store is limited to the same rate and continues while bytes arrive. When the reader is lost, the first monitor of each zone reads the store first (cluster/ConfigRead).

--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -1,5 +1,6 @@
 #include "baobabpin/control/ClusterService.h"
 
+#include "baobabpin/cluster/ConfigRead.h"
 #include "baobabpin/control/RecordKeys.h"
 #include "platform/Documents.h"
 
@@ -21,9 +22,6 @@
 constexpr milliseconds FallbackAge{950};
 constexpr milliseconds ServersRenewAge{1000};
 constexpr milliseconds ServersFallbackAge{2200};
-/// A configuration must be in force within 3 s of its acknowledgement.
-constexpr milliseconds ConfigRenewAge{700};
-constexpr milliseconds ConfigFallbackAge{1600};
 /// The same as FallbackAge for a large fleet, where records pass through one
 /// more node.
 constexpr milliseconds LargeFallbackAge{1200};
@@ -64,6 +62,7 @@
     : Settings(std::move(settings)), Log(log), Directory(log) {
   auto ms = std::chrono::duration_cast<milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
+  StartedAt = base::BootClock::now();
   Self = {Settings.Node, static_cast<std::uint64_t>(ms.count())};
   Random.seed(std::random_device{}());
   updatePlan();
@@ -77,6 +76,10 @@
                                                     Settings.Store);
   Caller = std::make_unique<PeerCaller>(loop);
   PeerServer = std::make_unique<http::HttpServer>(loop);
+  Config = std::make_unique<ConfigDistribution>(loop, *Store, *Caller, Log,
+                                                Settings.LinkMegabits);
+  Config->Sources = [this] { return configSources(); };
+  Config->OnAdopted = [this] { notify(); };
   servePeers();
   BOOST_LEAF_CHECK(PeerServer->listen(Settings.Peers));
   auto onAvailability = [this](const char *what) {
@@ -98,12 +101,6 @@
                      onServerEntries(entries, sentAt);
                    },
                    onAvailability("servers")});
-  ConfigReader = std::make_unique<PrefixReader>(
-      *Store, platform::ConfigurationKey,
-      ReadHandlers{[this](const auto &entries, auto, auto sentAt) {
-                     onConfiguration(entries, sentAt);
-                   },
-                   onAvailability("configuration")});
   readStore(base::BootClock::now());
   Ticker = loop.runEvery(TickPeriod, [this] { tick(); });
   return {};
@@ -114,7 +111,6 @@
   PeerServer.reset();
   RecordsReader.reset();
   ServersReader.reset();
-  ConfigReader.reset();
 }
 
 void ClusterService::subscribe(std::function<void()> listener) {
@@ -126,10 +122,6 @@
     it();
 }
 
-const cluster::Configuration *ClusterService::configuration() const {
-  return Config ? &*Config : nullptr;
-}
-
 cluster::PrimaryUse
 ClusterService::primaryUse(const base::GroupName &group) const {
   auto it = RevokedEpochs.find(group);
@@ -265,36 +257,6 @@
     notify();
 }
 
-void ClusterService::onConfiguration(
-    const std::vector<store::StoreEntry> &entries, base::BootTime sentAt) {
-  ConfigConfirmedAt = std::max(ConfigConfirmedAt, sentAt);
-  for (const auto &it : entries) {
-    if (it.Key != platform::ConfigurationKey || it.Deleted)
-      continue;
-    if (adoptConfiguration(it.Value, "store"))
-      notify();
-  }
-}
-
-bool ClusterService::adoptConfiguration(const std::string &document,
-                                        std::string_view source) {
-  auto fresh = platform::parseConfiguration(document);
-  if (!fresh) {
-    Log.line("configuration_unreadable").add("source", source);
-    return false;
-  }
-  // A configuration in force is never replaced by an older one.
-  if (Config && fresh->Version <= Config->Version)
-    return false;
-  Log.line("configuration_applied")
-      .add("version", static_cast<std::int64_t>(fresh->Version))
-      .add("routes", static_cast<std::int64_t>(fresh->RoutesByDatabase.size()))
-      .add("source", source);
-  Config = std::move(fresh);
-  ConfigDocument = document;
-  return true;
-}
-
 bool ClusterService::isRegistered() const {
   auto it = View.Nodes.find(Self.Node);
   return it != View.Nodes.end() && !it->second.Value.Retired &&
@@ -362,11 +324,12 @@
 void ClusterService::tick() {
   auto now = base::BootClock::now();
   readStore(now);
+  Config->tick(now);
   // While the store is unreachable, a quorum of peers must confirm the view
   // before PrimaryLease ends. SyncPeriod plus SyncTimeout, which a node that
   // does not answer adds, is shorter than that.
   bool offline = now - View.StoreConfirmedAt > FallbackAge;
-  bool wide = offline || !Config || PositionsWanted;
+  bool wide = offline || !configuration() || PositionsWanted;
   bool due = wide ? now - LastWideSync > SyncPeriod : isUsualSyncDue(now);
   if (due && !SyncRunning)
     syncWith(syncTargets(wide), wide);
@@ -398,8 +361,32 @@
     RecordsReader->read();
   if (older(Directory.confirmedAt(), ServersRenewAge, ServersFallbackAge))
     ServersReader->read();
-  if (older(ConfigConfirmedAt, ConfigRenewAge, ConfigFallbackAge))
-    ConfigReader->read();
+  if (isConfigReadDue(now))
+    Config->readStore();
+}
+
+bool ClusterService::isConfigReadDue(base::BootTime now) const {
+  // Without any record, the node does not know its place in the fleet.
+  if (View.Nodes.empty())
+    return false;
+  return cluster::isConfigReadDue(
+      {.Known = configuration() != nullptr,
+       .Fetching = Config->isFetching(now),
+       .Age = now - Config->confirmedAt(),
+       .Uptime = now - StartedAt,
+       .ReadsStore = Plan.ReadsStore,
+       .FirstOfZone = firstMonitorOfZone() == Self.Node,
+       .IsLeaf = Plan.Large && !Plan.IsMonitor});
+}
+
+std::string ClusterService::firstMonitorOfZone() const {
+  auto inZone = [this](const std::string &name) {
+    auto it = View.Nodes.find(name);
+    return name == Self.Node || (it != View.Nodes.end() &&
+                                 it->second.Value.Zone == Settings.Zone);
+  };
+  auto first = std::ranges::find_if(Plan.Monitors, inZone);
+  return first == Plan.Monitors.end() ? std::string() : *first;
 }
 
 std::vector<PeerNode> ClusterService::syncTargets(bool wide) {
@@ -422,6 +409,15 @@
   return targets;
 }
 
+std::vector<PeerNode> ClusterService::configSources() const {
+  std::vector<std::string> names{firstMonitorOfZone()};
+  for (const auto &it : Plan.SyncSources) {
+    if (it != names.front())
+      names.push_back(it);
+  }
+  return peersNamed(names);
+}
+
 std::vector<PeerNode> ClusterService::sampleTargets() {
   std::vector<std::string> names = Plan.SyncSources;
   std::ranges::sample(Plan.Monitors, std::back_inserter(names), SampledMonitors,
@@ -449,20 +445,20 @@
   std::string body = encode(syncRequest());
   for (const auto &it : targets) {
     Caller->call(it.Endpoint, SyncPath, body, SyncTimeout,
-                 [this, round, peer = it.Name](const auto &reply) {
-                   onSyncReply(round, peer, reply);
+                 [this, round, it](const auto &reply) {
+                   onSyncReply(round, it, reply);
                  });
   }
 }
 
 void ClusterService::onSyncReply(const std::shared_ptr<SyncRound> &round,
-                                 const std::string &peer,
+                                 const PeerNode &peer,
                                  const std::optional<std::string> &body) {
   auto reply = body ? decodeSyncReply(*body) : std::nullopt;
   if (reply && !reply->CannotConfirm)
     ++round->Confirmations;
   if (reply) {
-    if (std::ranges::find(Plan.SyncSources, peer) != Plan.SyncSources.end())
+    if (std::ranges::find(Plan.SyncSources, peer.Name) != Plan.SyncSources.end())
       SourceRepliedAt = base::BootClock::now();
     adoptReply(*round, peer, *reply);
   }
@@ -471,7 +467,7 @@
     SyncRunning = false;
 }
 
-void ClusterService::adoptReply(SyncRound &round, const std::string &peer,
+void ClusterService::adoptReply(SyncRound &round, const PeerNode &peer,
                                 const SyncReply &reply) {
   auto confirmed = round.SentAt - reply.ViewAge;
   auto storeConfirmed = round.SentAt - reply.StoreAge;
@@ -480,17 +476,15 @@
     view.ConfirmedAt = confirmed;
     view.StoreConfirmedAt = storeConfirmed;
     round.RepliesCannotConfirm = true;
-    adoptView(std::move(view), peer);
+    adoptView(std::move(view), peer.Name);
     ensureRegistered();
   } else if (reply.ViewRevision >= View.Revision) {
     View.Revision = reply.ViewRevision;
     View.ConfirmedAt = std::max(View.ConfirmedAt, confirmed);
     View.StoreConfirmedAt = std::max(View.StoreConfirmedAt, storeConfirmed);
   }
-  if (!reply.Config.empty() && adoptConfiguration(reply.Config, peer))
-    notify();
-  ConfigConfirmedAt =
-      std::max(ConfigConfirmedAt, round.SentAt - reply.ConfigAge);
+  Config->onPeerVersion(peer, reply.ConfigVersion,
+                        round.SentAt - reply.ConfigAge);
   auto serversConfirmed = round.SentAt - reply.ServersAge;
   auto now = base::BootClock::now();
   bool changed = reply.Servers
@@ -517,14 +511,12 @@
   return {.Node = Self.Node,
           .ViewRevision = View.Revision,
           .ViewDigest = ViewDigest,
-          .ServersDigest = Directory.digest(),
-          .ConfigVersion = Config ? Config->Version : 0};
+          .ServersDigest = Directory.digest()};
 }
 
 std::string ClusterService::pingBody() const {
   auto request = syncRequest();
   request.ViewRevision = ~std::uint64_t{0};
-  request.ConfigVersion = ~std::uint64_t{0};
   return encode(request);
 }
 
@@ -540,6 +532,7 @@
   serve(SyncPath, decodeSyncRequest, &ClusterService::onSync);
   serve(RevokePath, decodeRevokeRequest, &ClusterService::onRevoke);
   serve(EvidencePath, decodeEvidenceRequest, &ClusterService::onEvidence);
+  Config->servePeers(*PeerServer);
 }
 
 template <typename Request>
@@ -572,12 +565,11 @@
   };
   reply.ViewAge = age(View.ConfirmedAt);
   reply.StoreAge = age(View.StoreConfirmedAt);
-  reply.ConfigAge = age(ConfigConfirmedAt);
+  reply.ConfigVersion = Config->version();
+  reply.ConfigAge = age(Config->confirmedAt());
   reply.ServersAge = age(Directory.confirmedAt());
   if (request.ServersDigest != Directory.digest())
     reply.Servers = Directory.registrations();
-  if (Config && Config->Version > request.ConfigVersion)
-    reply.Config = ConfigDocument;
   // A process that is not registered under its own incarnation may have lost a
   // revocation that it acknowledged before a restart.
   reply.CannotConfirm = ChangesPending > 0 || now < UncertainUntil ||
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -11,6 +11,7 @@
 
 #include "baobabpin/cluster/ClusterView.h"
 #include "baobabpin/cluster/FleetPlan.h"
+#include "baobabpin/control/ConfigDistribution.h"
 #include "baobabpin/control/PeerCalls.h"
 #include "baobabpin/control/PrefixReader.h"
 #include "baobabpin/control/ServerDirectory.h"
@@ -54,12 +55,6 @@
   std::function<void(const base::GroupName &)> OnPrimarySuspected;
 };
 
-/// Another node, and the endpoint for calls to it.
-struct PeerNode {
-  std::string Name;
-  http::Endpoint Endpoint;
-};
-
 class ClusterService : public kernel::Service {
 public:
   ClusterService(platform::HostSettings settings, kernel::LineLog &log);
@@ -81,7 +76,9 @@
   const cluster::NodeIdentity &self() const { return Self; }
   const cluster::ClusterView &view() const { return View; }
   /// Returns null until a configuration is known.
-  const cluster::Configuration *configuration() const;
+  const cluster::Configuration *configuration() const {
+    return Config->configuration();
+  }
   const std::map<base::ServerId, cluster::ServerRegistration> &servers() const {
     return Directory.servers();
   }
@@ -148,9 +145,6 @@
                  std::uint64_t revision, base::BootTime sentAt);
   void onServerEntries(const std::vector<store::StoreEntry> &entries,
                        base::BootTime sentAt);
-  void onConfiguration(const std::vector<store::StoreEntry> &entries,
-                       base::BootTime sentAt);
-  bool adoptConfiguration(const std::string &document, std::string_view source);
   void adoptView(cluster::ClusterView view, std::string_view source);
   /// Writes the registration of this node unless the view contains it.
   void ensureRegistered();
@@ -160,6 +154,9 @@
   /// Reads the records, the servers and the configuration from the store, each
   /// only when its last confirmation is too old.
   void readStore(base::BootTime now);
+  bool isConfigReadDue(base::BootTime now) const;
+  /// Returns the first monitor in this node's zone, or an empty string.
+  std::string firstMonitorOfZone() const;
   bool isUsualSyncDue(base::BootTime now) const;
   SyncRequest syncRequest() const;
   /// Asks \p targets for everything that is newer than what this node knows.
@@ -169,6 +166,10 @@
   /// Returns the peers to ask in a synchronisation. \p wide is the same as for
   /// syncWith().
   std::vector<PeerNode> syncTargets(bool wide);
+  /// Returns the nodes to fetch the configuration from: the first monitor of
+  /// this node's zone, or for that monitor itself the node that reads the
+  /// store, and then the sync sources.
+  std::vector<PeerNode> configSources() const;
   /// Returns this node's sync sources, some random monitors and one random
   /// node.
   std::vector<PeerNode> sampleTargets();
@@ -182,11 +183,11 @@
   void updateView(std::string_view source,
                   const std::function<bool(cluster::ClusterView &)> &merge);
   void onSyncReply(const std::shared_ptr<SyncRound> &round,
-                   const std::string &peer,
+                   const PeerNode &peer,
                    const std::optional<std::string> &body);
   /// Adopts the newer parts of a reply, and the confirmation times that it
   /// reports.
-  void adoptReply(SyncRound &round, const std::string &peer,
+  void adoptReply(SyncRound &round, const PeerNode &peer,
                   const SyncReply &reply);
   /// Confirms the view when a quorum of nodes knows of nothing newer.
   void confirmByQuorum(const SyncRound &round);
@@ -199,9 +200,9 @@
   std::unique_ptr<platform::PlatformStore> Store;
   std::unique_ptr<PrefixReader> RecordsReader;
   std::unique_ptr<PrefixReader> ServersReader;
-  std::unique_ptr<PrefixReader> ConfigReader;
   std::unique_ptr<http::HttpServer> PeerServer;
   std::unique_ptr<PeerCaller> Caller;
+  std::unique_ptr<ConfigDistribution> Config;
   std::vector<std::function<void()>> Listeners;
   cluster::ClusterView View;
   std::uint64_t ViewDigest = 0;
@@ -209,11 +210,9 @@
   /// The last reply from one of Plan.SyncSources.
   base::BootTime SourceRepliedAt{};
   ServerDirectory Directory;
-  base::BootTime ConfigConfirmedAt{};
   /// The highest epoch of each group whose primary this node must not use.
   std::map<base::GroupName, std::uint64_t> RevokedEpochs;
-  std::optional<cluster::Configuration> Config;
-  std::string ConfigDocument;
+  base::BootTime StartedAt{};
   /// When this node sent its last successful read of the records to the store.
   base::BootTime OwnStoreReadAt{};
   base::BootTime LastSync{};
--- /dev/null
+++ b/baobabpin/control/ConfigDistribution.cpp
@@ -0,0 +1,227 @@
+#include "baobabpin/control/ConfigDistribution.h"
+
+#include "platform/Documents.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabpin::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *ConfigPath = "/peer/config";
+/// A source that would have to delay a piece for longer refuses it, so that the
+/// caller does not time out while the piece waits.
+constexpr milliseconds MaxPieceDelay{250};
+/// A source that does not reply within this time is replaced by the next.
+constexpr milliseconds PieceTimeout{500};
+constexpr milliseconds PieceRetry{150};
+/// A source that refuses pieces for this long, because it is busy or does not
+/// have the version, is replaced by the next.
+constexpr milliseconds SourceTimeout{500};
+/// A transfer without progress for longer has failed.
+constexpr milliseconds TransferTimeout{2500};
+constexpr int HttpBadRequest = 400;
+constexpr int HttpNotFound = 404;
+constexpr int HttpUnavailable = 503;
+
+} // namespace
+
+ConfigDistribution::ConfigDistribution(kernel::EventLoop &loop,
+                                       platform::PlatformStore &store,
+                                       PeerCaller &caller, kernel::LineLog &log,
+                                       std::int64_t linkMegabits)
+    : Loop(loop), Store(store), Caller(caller), Log(log),
+      Pace(distribution::paceForLink(linkMegabits)) {}
+
+const cluster::Configuration *ConfigDistribution::configuration() const {
+  return Config ? &*Config : nullptr;
+}
+
+bool ConfigDistribution::isFetching(base::BootTime now) const {
+  return OfferedVersion > version() && now - ProgressAt < TransferTimeout;
+}
+
+void ConfigDistribution::readStore() {
+  if (std::exchange(ReadingStore, true))
+    return;
+  auto sentAt = base::BootClock::now();
+  Store.readIfChanged(platform::ConfigurationKey, SeenRevision,
+                      Pace.BytesPerSecond,
+                      [this, sentAt](const platform::ChangedEntry &reply) {
+                        onStoreReply(reply, sentAt);
+                      });
+}
+
+void ConfigDistribution::onStoreReply(const platform::ChangedEntry &reply,
+                                      base::BootTime sentAt) {
+  ReadingStore = false;
+  bool ok = reply.Status == store::StoreStatus::Ok;
+  if (std::exchange(StoreAvailable, ok) != ok)
+    Log.line(ok ? "store_regained" : "store_lost")
+        .add("reading", "configuration")
+        .add("config_age_ms", base::BootClock::now() - ConfirmedAt);
+  if (!ok)
+    return;
+  ConfirmedAt = std::max(ConfirmedAt, sentAt);
+  if (!reply.Entry)
+    return;
+  SeenRevision = reply.Entry->Revision;
+  auto parsed = platform::parseConfiguration(reply.Entry->Value);
+  adopt({parsed ? parsed->Version : 0, reply.Entry->Revision,
+         reply.Entry->Value},
+        "store");
+}
+
+bool ConfigDistribution::adopt(distribution::Document document,
+                               std::string_view source) {
+  auto fresh = platform::parseConfiguration(document.Text);
+  if (!fresh || fresh->Version != document.Version) {
+    Log.line("configuration_unreadable").add("source", source);
+    return false;
+  }
+  // A configuration in force is never replaced by an older one.
+  if (fresh->Version <= version())
+    return false;
+  Log.line("configuration_applied")
+      .add("version", static_cast<std::int64_t>(fresh->Version))
+      .add("routes", static_cast<std::int64_t>(fresh->RoutesByDatabase.size()))
+      .add("source", source);
+  SeenRevision = std::max(SeenRevision, document.StoreRevision);
+  Archive.add(std::move(document));
+  Config = std::move(fresh);
+  Transfer = {};
+  WholeTextWanted = false;
+  if (version() >= OfferedVersion)
+    ConfirmedAt = std::max(ConfirmedAt, OfferedNewestAt);
+  OnAdopted();
+  return true;
+}
+
+void ConfigDistribution::onPeerVersion(const PeerNode &peer,
+                                       std::uint64_t peerVersion,
+                                       base::BootTime newestAt) {
+  if (peerVersion <= version()) {
+    ConfirmedAt = std::max(ConfirmedAt, newestAt);
+    return;
+  }
+  auto now = base::BootClock::now();
+  if (OfferedVersion <= version()) {
+    ProgressAt = now;
+    SourceSince = now;
+  }
+  if (peerVersion >= OfferedVersion) {
+    OfferedVersion = peerVersion;
+    OfferedNewestAt = std::max(OfferedNewestAt, newestAt);
+    OfferedBy = peer;
+  }
+  tick(now);
+}
+
+void ConfigDistribution::tick(base::BootTime now) {
+  if (OfferedVersion > version() && !PieceOutstanding && now >= NextRequestAt)
+    requestPiece();
+}
+
+void ConfigDistribution::requestPiece() {
+  auto sources = Sources();
+  if (std::ranges::find(sources, OfferedBy.Name, &PeerNode::Name) ==
+      sources.end())
+    sources.push_back(OfferedBy);
+  const PeerNode &source = sources[SourceIndex % sources.size()];
+  RequestedAt = base::BootClock::now();
+  distribution::PieceRequest request{WholeTextWanted ? 0 : version(),
+                                     Transfer.Header.ToVersion,
+                                     Transfer.Bytes.size()};
+  PieceOutstanding = true;
+  Caller.call(source.Endpoint, ConfigPath, distribution::encode(request),
+              PieceTimeout, [this, name = source.Name](const auto &body) {
+                onPiece(body, name);
+              });
+}
+
+void ConfigDistribution::onPiece(const std::optional<std::string> &body,
+                                 const std::string &source) {
+  PieceOutstanding = false;
+  auto now = base::BootClock::now();
+  auto piece = body ? distribution::decodePiece(*body) : std::nullopt;
+  // The store, or another source, may have brought the version meanwhile.
+  if (piece && piece->Header.ToVersion <= version()) {
+    Transfer = {};
+    retryPiece(now);
+    return;
+  }
+  if (!piece || !distribution::acceptPiece(Transfer, *piece)) {
+    retryPiece(now);
+    return;
+  }
+  ProgressAt = now;
+  SourceSince = now;
+  if (distribution::isComplete(Transfer))
+    completeTransfer(source);
+  else
+    requestPiece();
+}
+
+void ConfigDistribution::retryPiece(base::BootTime now) {
+  bool timedOut = now - RequestedAt >= PieceTimeout;
+  if (timedOut || now - SourceSince > SourceTimeout) {
+    ++SourceIndex;
+    SourceSince = now;
+  }
+  NextRequestAt = timedOut ? now : now + PieceRetry;
+}
+
+void ConfigDistribution::completeTransfer(const std::string &source) {
+  auto complete = std::exchange(Transfer, {});
+  distribution::Document base;
+  if (complete.Header.FromVersion != 0)
+    base = Archive.newest();
+  auto document = distribution::applyPatch(
+      base, {complete.Header, std::move(complete.Bytes)});
+  if (document && adopt(std::move(*document), source)) {
+    SourceIndex = 0;
+    return;
+  }
+  Log.line("configuration_patch_rejected")
+      .add("source", source)
+      .add("from", static_cast<std::int64_t>(complete.Header.FromVersion))
+      .add("to", static_cast<std::int64_t>(complete.Header.ToVersion));
+  WholeTextWanted = true;
+  retryPiece(base::BootClock::now());
+}
+
+void ConfigDistribution::servePeers(http::HttpServer &server) {
+  server.handle(ConfigPath, [this](const http::HttpRequest &call,
+                                   const http::ResponderPtr &responder) {
+    if (auto request = distribution::decodePieceRequest(call.Body))
+      onPieceRequest(*request, responder);
+    else
+      responder->json(HttpBadRequest, "{}");
+  });
+}
+
+void ConfigDistribution::onPieceRequest(
+    const distribution::PieceRequest &request,
+    const http::ResponderPtr &responder) {
+  const distribution::Patch *patch =
+      Archive.patchFor(request.HaveVersion, request.WantedVersion);
+  if (!patch) {
+    responder->json(HttpNotFound, "{}");
+    return;
+  }
+  auto now = base::BootClock::now();
+  if (Pace.FreeAt - now > MaxPieceDelay) {
+    responder->json(HttpUnavailable, "{}");
+    return;
+  }
+  std::string body =
+      distribution::encode(distribution::cutPiece(*patch, request));
+  auto delay = distribution::admitBulk(Pace, body.size(), now);
+  Loop.postAfter(delay, [responder, body = std::move(body)] {
+    responder->respond(200, "application/octet-stream", body);
+  });
+}
+
+} // namespace baobabpin::control
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -66,7 +66,6 @@
               {"view_revision", it.ViewRevision},
               {"view_digest", it.ViewDigest},
               {"servers_digest", it.ServersDigest},
-              {"config_version", it.ConfigVersion},
               {"change", it.Change}}
       .dump();
 }
@@ -79,7 +78,7 @@
             {"view_revision", it.ViewRevision},
             {"view_age_ms", it.ViewAge.count()},
             {"store_age_ms", it.StoreAge.count()},
-            {"config", it.Config},
+            {"config_version", it.ConfigVersion},
             {"config_age_ms", it.ConfigAge.count()},
             {"servers_age_ms", it.ServersAge.count()},
             {"cannot_confirm", it.CannotConfirm},
@@ -122,7 +121,6 @@
                        it.at("view_revision").get<std::uint64_t>(),
                        it.at("view_digest").get<std::uint64_t>(),
                        it.at("servers_digest").get<std::uint64_t>(),
-                       it.at("config_version").get<std::uint64_t>(),
                        it.at("change").get<std::string>()};
   });
 }
@@ -134,7 +132,7 @@
     reply.ViewRevision = it.at("view_revision").get<std::uint64_t>();
     reply.ViewAge = parseMilliseconds(it.at("view_age_ms"));
     reply.StoreAge = parseMilliseconds(it.at("store_age_ms"));
-    reply.Config = it.at("config").get<std::string>();
+    reply.ConfigVersion = it.at("config_version").get<std::uint64_t>();
     reply.ConfigAge = parseMilliseconds(it.at("config_age_ms"));
     reply.ServersAge = parseMilliseconds(it.at("servers_age_ms"));
     reply.CannotConfirm = it.at("cannot_confirm").get<bool>();
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -28,7 +28,6 @@
   std::uint64_t ViewRevision = 0;
   std::uint64_t ViewDigest = 0;
   std::uint64_t ServersDigest = 0;
-  std::uint64_t ConfigVersion = 0;
   /// Records that the caller has just changed (cluster::encodeGroupChange), or
   /// empty.
   std::string Change;
@@ -50,8 +49,9 @@
   /// The time since the view was confirmed, and since the store confirmed it.
   std::chrono::milliseconds ViewAge{0};
   std::chrono::milliseconds StoreAge{0};
-  /// The configuration document if it is newer than the caller's, or empty.
-  std::string Config;
+  /// The version of the peer's configuration, and the time since it was last
+  /// known to be the newest one.
+  std::uint64_t ConfigVersion = 0;
   std::chrono::milliseconds ConfigAge{0};
   /// All valid registrations if they differ from the caller's.
   std::optional<std::vector<cluster::ServerRegistration>> Servers;
--- a/baobabpin/http/HttpClient.cpp
+++ b/baobabpin/http/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -34,6 +35,27 @@
   return endpoint.Address + ":" + std::to_string(endpoint.Port);
 }
 
+namespace {
+
+using RateLimitPtr = std::unique_ptr<ev_token_bucket_cfg,
+                                     decltype(&ev_token_bucket_cfg_free)>;
+
+/// Returns a limit for reading, shared out every 10 ms, or null for no limit.
+RateLimitPtr makeReadLimit(std::int64_t bytesPerSecond) {
+  RateLimitPtr limit(nullptr, &ev_token_bucket_cfg_free);
+  if (bytesPerSecond <= 0)
+    return limit;
+  constexpr timeval Tick{0, 10'000};
+  constexpr std::int64_t TicksPerSecond = 100;
+  auto perTick = static_cast<std::size_t>(
+      std::max<std::int64_t>(1, bytesPerSecond / TicksPerSecond));
+  limit.reset(ev_token_bucket_cfg_new(perTick, perTick, EV_RATE_LIMIT_MAX,
+                                      EV_RATE_LIMIT_MAX, &Tick));
+  return limit;
+}
+
+} // namespace
+
 struct HttpConnection::State {
   State(EventLoop &loop, Endpoint target, std::string localAddress)
       : Loop(loop), Target(std::move(target)),
@@ -45,7 +67,14 @@
   evhttp_connection *Connection = nullptr;
   evhttp_request *Request = nullptr;
   ReplyCallback Callback;
-  Timer TimeoutTimer;
+  /// Ends a request of which no byte has arrived for ReplyLimits::Silence.
+  Timer SilenceTimer;
+  /// Ends a request after ReplyLimits::Total.
+  Timer TotalTimer;
+  ReplyLimits Limits;
+  RateLimitPtr ReadLimit{nullptr, &ev_token_bucket_cfg_free};
+  /// The part of the reply's body that has arrived.
+  std::string Received;
   /// Set when libevent reports that the connection was closed.
   bool Closed = false;
 
@@ -55,8 +84,15 @@
   /// Whether the TCP connection has been established.
   bool isConnected() const;
   void send(evhttp_cmd_type method, const std::string &path, std::string body,
-            base::Duration timeout, ReplyCallback callback,
+            ReplyLimits limits, ReplyCallback callback,
             const HttpHeaders &headers);
+  /// Sets the rate limit of the connection for the next reply.
+  void limitReading(std::int64_t bytesPerSecond);
+  /// Starts the time without any byte of the reply again.
+  void restartSilence();
+  void onTimeout();
+  void cancelTimers();
+  void onReplyPart(evhttp_request *request);
   void finish(HttpReply reply);
   void onReply(evhttp_request *request);
 };
@@ -75,13 +111,37 @@
       this);
 }
 
+void HttpConnection::State::cancelTimers() {
+  SilenceTimer.cancel();
+  TotalTimer.cancel();
+}
+
+void HttpConnection::State::limitReading(std::int64_t bytesPerSecond) {
+  RateLimitPtr limit = makeReadLimit(bytesPerSecond);
+  if (!limit && !ReadLimit)
+    return;
+  bufferevent_set_rate_limit(evhttp_connection_get_bufferevent(Connection),
+                             limit.get());
+  ReadLimit = std::move(limit);
+}
+
+void HttpConnection::State::onTimeout() {
+  finish({isConnected() ? Transfer::TimedOut : Transfer::NotSent, 0, {}});
+}
+
+void HttpConnection::State::restartSilence() {
+  if (Limits.Silence < Limits.Total)
+    SilenceTimer = Loop.runAfter(Limits.Silence, [this] { onTimeout(); });
+}
+
 void HttpConnection::State::closeConnection() {
-  TimeoutTimer.cancel();
+  cancelTimers();
   // evhttp does not call the callback of a cancelled request.
   if (Request)
     evhttp_cancel_request(std::exchange(Request, nullptr));
   if (!Connection)
     return;
+  limitReading(0);
   evhttp_connection *closing = std::exchange(Connection, nullptr);
   evhttp_connection_set_closecb(closing, nullptr, nullptr);
   // A callback of the connection may be running, so it is freed in the next
@@ -101,18 +161,26 @@
 
 void HttpConnection::State::send(evhttp_cmd_type method,
                                  const std::string &path, std::string body,
-                                 base::Duration timeout, ReplyCallback callback,
+                                 ReplyLimits limits, ReplyCallback callback,
                                  const HttpHeaders &extra) {
   Callback = std::move(callback);
+  Limits = limits;
+  Received.clear();
   if (Connection && Closed)
     closeConnection();
   if (!Connection)
     connect();
+  limitReading(limits.BytesPerSecond);
   Request = evhttp_request_new(
       [](evhttp_request *request, void *arg) {
         static_cast<State *>(arg)->onReply(request);
       },
       this);
+  // evhttp removes each part of the body from the request after this callback.
+  evhttp_request_set_chunked_cb(Request, [](evhttp_request *request,
+                                            void *arg) {
+    static_cast<State *>(arg)->onReplyPart(request);
+  });
   auto *headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(headers, "Host", Target.Address.c_str());
   evhttp_add_header(headers, "Content-Type", "application/json");
@@ -120,9 +188,8 @@
     evhttp_add_header(headers, it.Name.c_str(), it.Value.c_str());
   evbuffer_add(evhttp_request_get_output_buffer(Request), body.data(),
                body.size());
-  TimeoutTimer = Loop.runAfter(timeout, [this] {
-    finish({isConnected() ? Transfer::TimedOut : Transfer::NotSent, 0, {}});
-  });
+  restartSilence();
+  TotalTimer = Loop.runAfter(limits.Total, [this] { onTimeout(); });
   if (evhttp_make_request(Connection, Request, method, path.c_str()) == 0) {
     // Header and body are two small writes. With Nagle's algorithm, the second
     // one would wait 40 to 200 ms for a delayed acknowledgement.
@@ -131,7 +198,8 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   } else {
     Request = nullptr;
-    TimeoutTimer = Loop.runAfter({}, [this] {
+    SilenceTimer.cancel();
+    TotalTimer = Loop.runAfter({}, [this] {
       finish({Transfer::NotSent, 0, {}});
     });
   }
@@ -150,15 +218,20 @@
     finish({Transfer::NotSent, 0, {}});
     return;
   }
-  HttpReply reply{Transfer::Completed, status, {}};
-  evbuffer *body = evhttp_request_get_input_buffer(request);
-  reply.Body.resize(evbuffer_get_length(body));
-  evbuffer_remove(body, reply.Body.data(), reply.Body.size());
-  finish(std::move(reply));
+  onReplyPart(request);
+  finish({Transfer::Completed, status, std::move(Received)});
+}
+
+void HttpConnection::State::onReplyPart(evhttp_request *request) {
+  evbuffer *part = evhttp_request_get_input_buffer(request);
+  std::size_t old = Received.size();
+  Received.resize(old + evbuffer_get_length(part));
+  evbuffer_remove(part, Received.data() + old, Received.size() - old);
+  restartSilence();
 }
 
 void HttpConnection::State::finish(HttpReply reply) {
-  TimeoutTimer.cancel();
+  cancelTimers();
   // The reply to a failed request may still arrive on its connection and must
   // not be taken for the reply to the next request. The connection is not
   // reused.
@@ -178,13 +251,20 @@
 void HttpConnection::post(const std::string &path, std::string body,
                           base::Duration timeout, ReplyCallback callback,
                           const HttpHeaders &headers) {
-  Impl->send(EVHTTP_REQ_POST, path, std::move(body), timeout,
+  Impl->send(EVHTTP_REQ_POST, path, std::move(body), {timeout, timeout},
              std::move(callback), headers);
 }
 
+void HttpConnection::post(const std::string &path, std::string body,
+                          ReplyLimits limits, ReplyCallback callback) {
+  Impl->send(EVHTTP_REQ_POST, path, std::move(body), limits,
+             std::move(callback), {});
+}
+
 void HttpConnection::get(const std::string &path, base::Duration timeout,
                          ReplyCallback callback) {
-  Impl->send(EVHTTP_REQ_GET, path, {}, timeout, std::move(callback), {});
+  Impl->send(EVHTTP_REQ_GET, path, {}, {timeout, timeout}, std::move(callback),
+             {});
 }
 
 void HttpConnection::disconnect() {
--- a/baobabpin/http/HttpClient.h
+++ b/baobabpin/http/HttpClient.h
@@ -55,6 +55,18 @@
 };
 using HttpHeaders = std::vector<HttpHeader>;
 
+/// How long to wait for a reply whose size is not known. A slow transfer
+/// continues as long as bytes arrive.
+struct ReplyLimits {
+  /// The longest time without any byte of the reply.
+  base::Duration Silence{};
+  /// The longest time from sending the request to the end of the reply.
+  base::Duration Total{};
+  /// The rate at which the reply is read, so that it leaves a part of the link
+  /// to other connections; 0 for no limit.
+  std::int64_t BytesPerSecond = 0;
+};
+
 /// A connection that is opened by the first request and reused by later ones. A
 /// request that does not complete closes it.
 class HttpConnection {
@@ -75,6 +87,10 @@
   /// Sends a GET request under the same rules as post().
   void get(const std::string &path, base::Duration timeout,
            ReplyCallback callback);
+  /// Sends a POST request under the same rules as post() above, with limits for
+  /// a reply that may be large.
+  void post(const std::string &path, std::string body, ReplyLimits limits,
+            ReplyCallback callback);
   /// Whether a request is in flight.
   bool isBusy() const;
   /// Closes the TCP connection and cancels a request in flight without calling
--- a/baobabpin/kernel/EventLoop.cpp
+++ b/baobabpin/kernel/EventLoop.cpp
@@ -158,6 +158,16 @@
   (void)!write(Impl->WakeupFd, &one, sizeof one);
 }
 
+void EventLoop::postAfter(base::Duration delay,
+                          std::function<void()> callback) {
+  auto timer = std::make_shared<Timer>();
+  *timer = runAfter(delay, [timer, callback = std::move(callback)] {
+    callback();
+    // The callback owns its timer, which therefore has to end itself.
+    timer->cancel();
+  });
+}
+
 void EventLoop::onSignal(int signal, std::function<void()> callback) {
   auto holder = std::make_unique<std::function<void()>>(std::move(callback));
   EventPtr it(event_new(
--- a/baobabpin/kernel/EventLoop.h
+++ b/baobabpin/kernel/EventLoop.h
@@ -60,6 +60,8 @@
   /// before.
   [[nodiscard]] Timer runAfter(base::Duration delay,
                                std::function<void()> callback);
+  /// Calls \p callback once after \p delay. It cannot be cancelled.
+  void postAfter(base::Duration delay, std::function<void()> callback);
   /// Calls \p callback every \p period, first after one period.
   [[nodiscard]] Timer runEvery(base::Duration period,
                                std::function<void()> callback);
