Announce failovers of several groups together; ignore replies sent before the silence

Cause: when a zone is cut off, peers confirmed a primary by replies that were sent before the cut (0.78 s to the decision instead of 0.45 s), and the intents of its groups were written one after the other. Change: a peer's reply confirms the primary only if it is later than the own last one by a probe period, or very recent; decisions of 5 ms go into one change.

--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -45,6 +45,19 @@
     evidence.Peers[0].PrimaryReplyAge = 900ms;
     CHECK(decideFailover(evidence) != FailoverVerdict::KeepPrimary);
   }
+  SUBCASE("is replaced when all replies to peers are as old as the own one") {
+    // The primary's zone was cut off: every node got its last reply within one
+    // probe period, and none has got one since.
+    evidence.DutyHolder = "n2";
+    evidence.Own.PrimaryReplyAge = 460ms;
+    evidence.Peers = {peer("n1", 270ms), peer("n3", 440ms)};
+    CHECK(decideFailover(evidence) == FailoverVerdict::StartFailover);
+  }
+  SUBCASE("stays primary when peers got replies after the own one failed") {
+    evidence.Own.PrimaryReplyAge = 460ms;
+    evidence.Peers = {peer("n1", 240ms), peer("n3", 30ms)};
+    CHECK(decideFailover(evidence) == FailoverVerdict::KeepPrimary);
+  }
   SUBCASE("stays primary while another node runs a failover") {
     evidence.Peers[1].FailoverInProgress = true;
     CHECK(decideFailover(evidence) == FailoverVerdict::KeepPrimary);
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -20,6 +20,8 @@
 /// missing record.
 constexpr milliseconds RecordCreationDelay{1500};
 constexpr milliseconds EvidenceTimeout{150};
+/// Decisions that follow each other within this time are announced together.
+constexpr milliseconds IntentCollectionTime{5};
 constexpr milliseconds RevokeTimeout{500};
 constexpr milliseconds RevokeRetry{100};
 constexpr milliseconds StatusTimeout{250};
@@ -243,33 +245,46 @@
       .add("peers_vouching", static_cast<std::int64_t>(confirming))
       .add("duty_holder", evidence.DutyHolder)
       .add("take_over", evidence.TakingOver ? "yes" : "no");
-  if (verdict == cluster::FailoverVerdict::StartFailover)
-    writeIntent(group);
+  if (verdict != cluster::FailoverVerdict::StartFailover)
+    return;
+  if (DueIntents.empty())
+    Kernel->loop().postAfter(IntentCollectionTime, [this] { writeIntents(); });
+  DueIntents[group] = collected.RecordRevision;
 }
 
-void FailoverService::writeIntent(const base::GroupName &group) {
-  auto it = Cluster->view().Groups.find(group);
-  if (it == Cluster->view().Groups.end() || Failovers.contains(group) ||
-      WritePending)
+void FailoverService::writeIntents() {
+  auto due = std::exchange(DueIntents, {});
+  if (WritePending)
     return;
   const auto &duty = Cluster->view().Duty;
   cluster::DutyRecord newDuty{Cluster->self().Node, duty.Value.Token + 1};
-  cluster::GroupRecord record = it->second.Value;
-  record.FailoverInProgress = true;
-  record.Coordinator = cluster::formatIdentity(Cluster->self());
-  record.Token = newDuty.Token;
+  std::vector<platform::KeyChange> changes{
+      {dutyKey(), cluster::encodeRecord(newDuty), duty.Revision, false}};
+  std::string names;
+  for (const auto &[group, revision] : due) {
+    auto it = Cluster->view().Groups.find(group);
+    if (it == Cluster->view().Groups.end() || it->second.Revision != revision ||
+        Failovers.contains(group) || changes.size() == platform::MaxKeyChanges)
+      continue;
+    cluster::GroupRecord record = it->second.Value;
+    record.FailoverInProgress = true;
+    record.Coordinator = cluster::formatIdentity(Cluster->self());
+    record.Token = newDuty.Token;
+    changes.push_back(
+        {groupKey(group), cluster::encodeRecord(record), revision, false});
+    names += (names.empty() ? "" : ",") + group;
+  }
+  if (names.empty())
+    return;
   WritePending = true;
-  Cluster->change(
-      {{dutyKey(), cluster::encodeRecord(newDuty), duty.Revision, false},
-       {groupKey(group), cluster::encodeRecord(record), it->second.Revision,
-        false}},
-      [this, group, token = newDuty.Token](const store::StoreReply &reply) {
-        WritePending = false;
-        Log.line("move_intent")
-            .add("group", group)
-            .add("token", static_cast<std::int64_t>(token))
-            .add("result", store::storeStatusName(reply.Status));
-      });
+  Cluster->change(changes, [this, names, token = newDuty.Token](
+                               const store::StoreReply &reply) {
+    WritePending = false;
+    Log.line("move_intent")
+        .add("groups", names)
+        .add("token", static_cast<std::int64_t>(token))
+        .add("result", store::storeStatusName(reply.Status));
+  });
 }
 
 bool FailoverService::isCurrent(const FailoverPtr &failover) const {
@@ -348,9 +363,8 @@
                              it->Unacknowledged.erase(peer.Name);
                              return;
                            }
-                           auto retry = std::make_shared<kernel::Timer>();
-                           *retry = Kernel->loop().runAfter(
-                               RevokeRetry, [this, weak, peer, retry] {
+                           Kernel->loop().postAfter(
+                               RevokeRetry, [this, weak, peer] {
                                  FailoverPtr again = weak.lock();
                                  if (again && isCurrent(again) &&
                                      again->Unacknowledged.contains(peer.Name))
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -73,8 +73,10 @@
   /// Decides on a failover after all peers have replied or timed out.
   void onEvidence(const base::GroupName &group,
                   const cluster::FailoverEvidence &evidence);
-  /// Announces a failover with this node as its coordinator.
-  void writeIntent(const base::GroupName &group);
+  /// Announces the failovers of all groups in DueIntents, with this node as
+  /// their coordinator, in one change of the store. The primaries of a zone fail
+  /// together, and one change for each would delay the last of them.
+  void writeIntents();
   void startFailover(const base::GroupName &group);
   /// Returns whether the group's record is still the one that the failover
   /// started with.
@@ -106,6 +108,9 @@
   /// When a group without a record was first seen.
   std::map<base::GroupName, base::BootTime> MissingSince;
   std::map<base::GroupName, FailoverPtr> Failovers;
+  /// The groups whose failover this node will announce, and the revision of
+  /// their records when that was decided.
+  std::map<base::GroupName, std::uint64_t> DueIntents;
   /// The outcome of a change of a record is not known yet.
   bool WritePending = false;
   base::BootTime StartedAt{};
