Shorten the lease on primaries in small fleets

Cause: after a zone cut strict work waits for 0.5 s of detection, 1.9 s of lease and the promotion; reads of bounded staleness (1.5 s) end during that gap too. Change: each node records its lease. It is 1.2 s in a fleet of up to 16 nodes that has settled, renewed by reads and synchronisations every 250 ms, and 1.8 s otherwise. A coordinator waits for the longest recorded lease, so fleets of mixed program versions and sizes are safe; a node uses no more than its record says, and the short lease while a change of its record may still take effect.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -29,6 +29,7 @@
           {"relay", http::formatEndpoint(it.Relay)},
           {"zone", it.Zone},
           {"capacity", it.Capacity},
+          {"lease_ms", it.Lease.count()},
           {"retired", it.Retired}};
 }
 
@@ -54,6 +55,9 @@
           .Relay = http::parseEndpoint(it.at("relay").get<std::string>()),
           .Zone = it.at("zone").get<std::string>(),
           .Capacity = it.at("capacity").get<int>(),
+          // A program version without this field used PrimaryLease.
+          .Lease = std::chrono::milliseconds(it.value(
+              "lease_ms", static_cast<std::int64_t>(PrimaryLease.count()))),
           .Retired = it.at("retired").get<bool>()};
 }
 
@@ -245,13 +249,39 @@
   return "unregistered";
 }
 
+std::chrono::milliseconds longestLease(const ClusterView &view) {
+  std::chrono::milliseconds longest = SmallFleetLease;
+  for (const auto &[name, it] : view.Nodes)
+    longest = std::max(longest, it.Value.Lease);
+  return longest;
+}
+
+bool usesSmallFleetLease(const ClusterView &view) {
+  auto small = std::ranges::count_if(view.Nodes, [](const auto &it) {
+    return it.second.Value.Lease <= SmallFleetLease;
+  });
+  return 2 * static_cast<std::size_t>(small) > view.Nodes.size();
+}
+
+std::chrono::milliseconds usableLease(const ClusterView &view,
+                                      const std::string &self,
+                                      std::chrono::milliseconds wanted,
+                                      bool uncertain) {
+  auto it = view.Nodes.find(self);
+  if (uncertain || it == view.Nodes.end())
+    return std::min(wanted, SmallFleetLease);
+  return std::min(wanted, it->second.Value.Lease);
+}
+
 PrimaryUse checkPrimaryUse(const ClusterView &view, const NodeIdentity &self,
                            const base::GroupName &group,
-                           std::uint64_t revokedEpoch, base::BootTime now) {
+                           std::uint64_t revokedEpoch,
+                           std::chrono::milliseconds lease,
+                           base::BootTime now) {
   auto it = view.Groups.find(group);
   if (it == view.Groups.end())
     return PrimaryUse::UnknownGroup;
-  if (now - view.ConfirmedAt >= PrimaryLease)
+  if (now - view.ConfirmedAt >= lease)
     return PrimaryUse::LeaseExpired;
   auto node = view.Nodes.find(self.Node);
   if (node == view.Nodes.end() || node->second.Value.Retired ||
--- a/baobabpin/cluster/ClusterView.h
+++ b/baobabpin/cluster/ClusterView.h
@@ -2,7 +2,7 @@
 /// rule for the use of a primary.
 ///
 /// A node may use the primary of a group only while its view was confirmed
-/// within the last PrimaryLease. The store confirms a view. While the store is
+/// within its lease (NodeRecord::Lease). The store confirms a view. While the store is
 /// unreachable, confirmQuorum() nodes that know of nothing newer confirm it.
 ///
 /// The node that runs a failover, its coordinator, first writes an intent:
@@ -11,9 +11,10 @@
 /// continues in one of three cases:
 ///
 ///   - All registered nodes have acknowledged.
-///   - PrimaryLease has passed since revocationQuorum() nodes acknowledged. Any
-///     later quorum that could confirm an older view would include one of them.
-///   - OfflineLimit and PrimaryLease have passed, so that no view without the
+///   - The longest lease of any node has passed since revocationQuorum() nodes
+///     acknowledged. Any later quorum that could confirm an older view would
+///     include one of them.
+///   - OfflineLimit and that lease have passed, so that no view without the
 ///     intent can be in use any more.
 ///
 /// Hence no node uses the old primary when the new one begins to commit, no
@@ -29,12 +30,14 @@
 
 namespace baobabpin::cluster {
 
-/// The time for which a confirmed view allows its node to use primaries. A
-/// failover takes longer by this time when a node is lost together with the
-/// primary, and reads of bounded staleness should be served throughout a
-/// failover. Peers renew the view several times within this time, also while
-/// the store is unreachable.
+/// The longest time for which a confirmed view allows a node to use primaries.
+/// A failover takes longer by the lease when a node is lost together with the
+/// primary. In a large fleet a confirmation passes through several nodes, and
+/// must be renewed several times within the lease.
 inline constexpr std::chrono::milliseconds PrimaryLease{1800};
+/// The lease in a small fleet, where all nodes get their confirmations from the
+/// reader of the store. It ends before reads of bounded staleness are refused.
+inline constexpr std::chrono::milliseconds SmallFleetLease{1200};
 /// The time after the last confirmation by the store, received directly or
 /// through peers, for which a quorum of nodes may still confirm a node's view.
 /// It is longer than most outages of the store. A failover in which too few
@@ -73,7 +76,7 @@
 /// without the store when \p registered nodes are registered.
 std::size_t confirmQuorum(std::size_t registered);
 /// Returns the number of acknowledgements, the coordinator's own included,
-/// after which no node uses the old primary for longer than PrimaryLease.
+/// after which no node uses the old primary for longer than its lease.
 /// \p recent is the number of registered nodes that a quorum which confirms an
 /// older view may not know.
 std::size_t revocationQuorum(std::size_t registered, std::size_t recent);
@@ -140,11 +143,28 @@
 
 std::string_view primaryUseName(PrimaryUse use);
 
-/// Checks whether the node \p self may use the primary of \p group.
+/// Returns the longest lease of the registered nodes, at least SmallFleetLease.
+std::chrono::milliseconds longestLease(const ClusterView &view);
+
+/// Returns whether most registered nodes have the lease of a small fleet.
+bool usesSmallFleetLease(const ClusterView &view);
+
+/// Returns the lease that the node \p self may use: \p wanted, but no more than
+/// its record says, because a coordinator waits for the lease in the record. A
+/// node whose last change may still take effect (\p uncertain) uses the shortest
+/// lease, because its record may be about to say so.
+std::chrono::milliseconds usableLease(const ClusterView &view,
+                                      const std::string &self,
+                                      std::chrono::milliseconds wanted,
+                                      bool uncertain);
+
+/// Checks whether the node \p self may use the primary of \p group. \p lease is
+/// the result of usableLease().
 /// \p revokedEpoch is the highest epoch whose primary the node has promised not
 /// to use any more, or 0 if there is none.
 PrimaryUse checkPrimaryUse(const ClusterView &view, const NodeIdentity &self,
                            const base::GroupName &group,
-                           std::uint64_t revokedEpoch, base::BootTime now);
+                           std::uint64_t revokedEpoch,
+                           std::chrono::milliseconds lease, base::BootTime now);
 
 } // namespace baobabpin::cluster
--- a/baobabpin/cluster/ClusterViewTest.cpp
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -34,7 +34,8 @@
   NodeIdentity self{"n1", 11};
   ClusterView view = makeView(self);
   auto use = [&](std::uint64_t revoked, std::chrono::nanoseconds age) {
-    return checkPrimaryUse(view, self, "g", revoked, Start + age);
+    return checkPrimaryUse(view, self, "g", revoked, PrimaryLease,
+                           Start + age);
   };
   CHECK(use(0, 0ms) == PrimaryUse::Allowed);
 
@@ -59,11 +60,54 @@
     CHECK(use(0, 0ms) == PrimaryUse::Unregistered);
   }
   SUBCASE("a group without a record is refused") {
-    CHECK(checkPrimaryUse(view, self, "other", 0, Start) ==
+    CHECK(checkPrimaryUse(view, self, "other", 0, PrimaryLease, Start) ==
           PrimaryUse::UnknownGroup);
   }
 }
 
+TEST_CASE("a coordinator waits for the longest lease that a node may hold") {
+  ClusterView view = makeView({"n1", 11});
+  auto usable = [&](std::chrono::milliseconds wanted, bool uncertain = false) {
+    return usableLease(view, "n1", wanted, uncertain);
+  };
+  NodeRecord &record = view.Nodes["n1"].Value;
+
+  SUBCASE("a node in a growing fleet uses a longer lease once it is recorded") {
+    record.Lease = SmallFleetLease;
+    CHECK(usable(PrimaryLease) == SmallFleetLease);
+    record.Lease = PrimaryLease;
+    CHECK(usable(PrimaryLease) == PrimaryLease);
+    CHECK(longestLease(view) == PrimaryLease);
+  }
+  SUBCASE("a node in a shrinking fleet uses the shorter lease at once") {
+    record.Lease = PrimaryLease;
+    CHECK(usable(SmallFleetLease) == SmallFleetLease);
+  }
+  SUBCASE("a change whose outcome is unknown counts as the shortest lease") {
+    record.Lease = PrimaryLease;
+    CHECK(usable(PrimaryLease, true) == SmallFleetLease);
+  }
+  SUBCASE("a record of an earlier program version stands for PrimaryLease") {
+    CHECK(applyEntry(
+        view, "bp/",
+        entry("node/n2",
+              R"({"incarnation":1,"added_ms":1,"peer":"10.0.0.2:70",)"
+              R"("relay":"10.0.0.2:71","zone":"a","capacity":1,)"
+              R"("retired":false})",
+              7)));
+    CHECK(longestLease(view) == PrimaryLease);
+  }
+  SUBCASE("no usable lease is longer than the longest recorded one") {
+    for (auto recorded : {SmallFleetLease, PrimaryLease}) {
+      for (auto wanted : {SmallFleetLease, PrimaryLease}) {
+        record.Lease = recorded;
+        CHECK(usable(wanted) <= longestLease(view));
+        CHECK(usable(wanted, true) <= longestLease(view));
+      }
+    }
+  }
+}
+
 TEST_CASE("an older record or view never replaces a newer one") {
   ClusterView view = makeView({"n1", 11});
   SUBCASE("an older entry is ignored") {
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -109,6 +109,9 @@
   base::AvailabilityZone Zone;
   /// The node's share of the host's processors, in thousandths of a core.
   int Capacity = 0;
+  /// The time after the last confirmation of its view for which the node uses
+  /// primaries, at most. A failover waits this long for the node.
+  std::chrono::milliseconds Lease{0};
   /// Set by another node that could not reach this one. A node that finds
   /// itself retired registers again before it uses a primary.
   bool Retired = false;
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -12,21 +12,24 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds TickPeriod{100};
+constexpr milliseconds TickPeriod{50};
 /// A view older than this is renewed from the usual sync source. Several
-/// renewals fit into PrimaryLease.
-constexpr milliseconds RenewAge{400};
+/// renewals fit into the lease.
+constexpr milliseconds RenewAge{250};
 /// When the store last confirmed the view longer ago than this, the sync source
 /// or the store is assumed to have failed: the node reads the store itself and
 /// asks more peers.
-constexpr milliseconds FallbackAge{950};
+constexpr milliseconds FallbackAge{650};
 constexpr milliseconds ServersRenewAge{1000};
 constexpr milliseconds ServersFallbackAge{2200};
-/// The same as FallbackAge for a large fleet, where records pass through one
-/// more node.
-constexpr milliseconds LargeFallbackAge{1200};
+/// The same for a large fleet, where records pass through one more node, and
+/// where the lease is longer.
+constexpr milliseconds LargeRenewAge{450};
+constexpr milliseconds LargeFallbackAge{950};
+constexpr milliseconds LeafFallbackAge{1200};
 /// The time between two synchronisations with peers.
-constexpr milliseconds SyncPeriod{350};
+constexpr milliseconds SyncPeriod{250};
+constexpr milliseconds LargeSyncPeriod{350};
 /// Monitors of a large fleet synchronise more often, so that the nodes that
 /// fetch records from them do not lag much.
 constexpr milliseconds MonitorSyncPeriod{200};
@@ -36,6 +39,10 @@
 constexpr milliseconds SelfMonitoringDelay{2500};
 /// A change whose reply was lost may still take effect for this long.
 constexpr milliseconds LateChangeLimit{6500};
+/// A fleet counts as small after it has had few nodes for this long. While it
+/// starts, the nodes register one after the other, and each change of a lease
+/// costs a change of the node's record.
+constexpr milliseconds LeaseSettlingTime{3000};
 constexpr milliseconds StoreReachableAge{2000};
 /// In a large fleet, a node that looks for a newer view asks this many monitors
 /// in addition to its sync sources.
@@ -63,6 +70,7 @@
   auto ms = std::chrono::duration_cast<milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   StartedAt = base::BootClock::now();
+  LastLarge = StartedAt;
   Self = {Settings.Node, static_cast<std::uint64_t>(ms.count())};
   Random.seed(std::random_device{}());
   updatePlan();
@@ -126,10 +134,36 @@
 ClusterService::primaryUse(const base::GroupName &group) const {
   auto it = RevokedEpochs.find(group);
   std::uint64_t revoked = it == RevokedEpochs.end() ? 0 : it->second;
-  return cluster::checkPrimaryUse(View, Self, group, revoked,
+  return cluster::checkPrimaryUse(View, Self, group, revoked, lease(),
                                   base::BootClock::now());
 }
 
+std::chrono::milliseconds ClusterService::lease() const {
+  return cluster::usableLease(View, Self.Node, wantedLease(),
+                              isRegistrationUncertain());
+}
+
+bool ClusterService::isRegistrationUncertain() const {
+  auto it = View.Nodes.find(Self.Node);
+  bool seen = it != View.Nodes.end() &&
+              it->second.Revision >= RegistrationRevision;
+  return !seen || Registering ||
+         base::BootClock::now() < RegistrationUncertainUntil;
+}
+
+std::chrono::milliseconds ClusterService::wantedLease() const {
+  if (Plan.Large)
+    return cluster::PrimaryLease;
+  bool settled = base::BootClock::now() - LastLarge > LeaseSettlingTime;
+  return settled || cluster::usesSmallFleetLease(View)
+             ? cluster::SmallFleetLease
+             : cluster::PrimaryLease;
+}
+
+bool ClusterService::hasUncertainChange() const {
+  return ChangesPending > 0 || base::BootClock::now() < UncertainUntil;
+}
+
 std::chrono::nanoseconds ClusterService::viewAge() const {
   return base::BootClock::now() - View.ConfirmedAt;
 }
@@ -185,6 +219,8 @@
   auto nodes = nodePlacements();
   auto self = nodes.front();
   Plan = cluster::planFleet(std::move(nodes), self);
+  if (Plan.Large)
+    LastLarge = base::BootClock::now();
 }
 
 void ClusterService::onRecords(const std::vector<store::StoreEntry> &entries,
@@ -264,9 +300,10 @@
 }
 
 void ClusterService::ensureRegistered() {
-  if (isRegistered() || Registering || Deregistering)
-    return;
   auto it = View.Nodes.find(Self.Node);
+  bool current = isRegistered() && it->second.Value.Lease == wantedLease();
+  if (current || Registering || Deregistering)
+    return;
   Registering = true;
   std::uint64_t added =
       it == View.Nodes.end() ? Self.Incarnation : it->second.Value.AddedMs;
@@ -275,12 +312,19 @@
                              .Peer = Settings.Peers,
                              .Relay = Settings.Relay,
                              .Zone = Settings.Zone,
-                             .Capacity = Settings.Capacity};
+                             .Capacity = Settings.Capacity,
+                             .Lease = wantedLease()};
   std::uint64_t revision = it == View.Nodes.end() ? 0 : it->second.Revision;
   change({{nodeKey(Self.Node), cluster::encodeRecord(record), revision, false}},
          [this](const store::StoreReply &reply) {
            Registering = false;
+           if (reply.Status == store::StoreStatus::Ok)
+             RegistrationRevision = reply.Revision;
+           if (reply.Status == store::StoreStatus::Unknown)
+             RegistrationUncertainUntil =
+                 base::BootClock::now() + LateChangeLimit;
            Log.line("node_registered")
+               .add("lease_ms", wantedLease())
                .add("result", store::storeStatusName(reply.Status));
          });
 }
@@ -326,11 +370,13 @@
   readStore(now);
   Config->tick(now);
   // While the store is unreachable, a quorum of peers must confirm the view
-  // before PrimaryLease ends. SyncPeriod plus SyncTimeout, which a node that
+  // before the lease ends. The period plus SyncTimeout, which a node that
   // does not answer adds, is shorter than that.
-  bool offline = now - View.StoreConfirmedAt > FallbackAge;
+  bool offline = now - View.StoreConfirmedAt >
+                 (Plan.Large ? LargeFallbackAge : FallbackAge);
   bool wide = offline || !configuration() || PositionsWanted;
-  bool due = wide ? now - LastWideSync > SyncPeriod : isUsualSyncDue(now);
+  auto period = Plan.Large ? LargeSyncPeriod : SyncPeriod;
+  bool due = wide ? now - LastWideSync > period : isUsualSyncDue(now);
   if (due && !SyncRunning)
     syncWith(syncTargets(wide), wide);
 }
@@ -341,7 +387,7 @@
   // In a large fleet, the view has already aged when it arrives, so a node
   // synchronises at fixed intervals instead of by the age of its view.
   if (Plan.Large)
-    return now - LastSync > (Plan.IsMonitor ? MonitorSyncPeriod : SyncPeriod);
+    return now - LastSync > (Plan.IsMonitor ? MonitorSyncPeriod : LargeSyncPeriod);
   return now - View.ConfirmedAt > RenewAge;
 }
 
@@ -354,10 +400,11 @@
   // requests of all nodes would overload it. Any other node reads the store
   // itself only when its sync sources do not reply.
   bool fetchesFromMonitors = Plan.Large && !Plan.IsMonitor;
-  if (fetchesFromMonitors && now - SourceRepliedAt < LargeFallbackAge)
+  if (fetchesFromMonitors && now - SourceRepliedAt < LeafFallbackAge)
     return;
-  if (older(View.StoreConfirmedAt, RenewAge,
-            fetchesFromMonitors ? LargeFallbackAge : FallbackAge))
+  milliseconds fallback = Plan.Large ? LargeFallbackAge : FallbackAge;
+  if (older(View.StoreConfirmedAt, Plan.Large ? LargeRenewAge : RenewAge,
+            fetchesFromMonitors ? LeafFallbackAge : fallback))
     RecordsReader->read();
   if (older(Directory.confirmedAt(), ServersRenewAge, ServersFallbackAge))
     ServersReader->read();
@@ -501,8 +548,7 @@
   bool offlineTooLong =
       round.SentAt - View.StoreConfirmedAt > cluster::OfflineLimit;
   if (round.RepliesCannotConfirm || round.Confirmations + 1 < quorum ||
-      offlineTooLong || ChangesPending > 0 ||
-      base::BootClock::now() < UncertainUntil)
+      offlineTooLong || hasUncertainChange())
     return;
   View.ConfirmedAt = std::max(View.ConfirmedAt, round.SentAt);
 }
@@ -572,8 +618,8 @@
     reply.Servers = Directory.registrations();
   // A process that is not registered under its own incarnation may have lost a
   // revocation that it acknowledged before a restart.
-  reply.CannotConfirm = ChangesPending > 0 || now < UncertainUntil ||
-                        Deregistering || !isRegistered();
+  reply.CannotConfirm =
+      hasUncertainChange() || Deregistering || !isRegistered();
   if (Hooks.Positions)
     reply.Positions = Hooks.Positions();
   responder->json(200, encode(reply));
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -89,6 +89,9 @@
   }
   cluster::PrimaryUse primaryUse(const base::GroupName &group) const;
   std::chrono::nanoseconds viewAge() const;
+  /// Returns the time after the last confirmation of the view for which this
+  /// node may use primaries.
+  std::chrono::milliseconds lease() const;
   /// Returns whether this node itself has recently read the records from the
   /// store. A confirmation received through a peer does not count.
   bool isStoreReachable() const;
@@ -149,6 +152,13 @@
   /// Writes the registration of this node unless the view contains it.
   void ensureRegistered();
   bool isRegistered() const;
+  /// Returns the lease that suits the size of the fleet.
+  std::chrono::milliseconds wantedLease() const;
+  /// Returns whether the record of this node in the store may differ from the
+  /// one in the view because of a change that this node has made.
+  bool isRegistrationUncertain() const;
+  /// Returns whether a change of this node may still take effect.
+  bool hasUncertainChange() const;
   void tick();
   void updatePlan();
   /// Reads the records, the servers and the configuration from the store, each
@@ -213,6 +223,8 @@
   /// The highest epoch of each group whose primary this node must not use.
   std::map<base::GroupName, std::uint64_t> RevokedEpochs;
   base::BootTime StartedAt{};
+  /// When the fleet was last large, or this process started.
+  base::BootTime LastLarge{};
   /// When this node sent its last successful read of the records to the store.
   base::BootTime OwnStoreReadAt{};
   base::BootTime LastSync{};
@@ -225,6 +237,11 @@
   bool Registering = false;
   /// This node has begun to remove its registration.
   bool Deregistering = false;
+  /// The revision of this node's record after its last change.
+  std::uint64_t RegistrationRevision = 0;
+  /// Until this time, a change of this node's record whose reply was lost may
+  /// still take effect.
+  base::BootTime RegistrationUncertainUntil{};
   int ChangesPending = 0;
   /// Until this time, a change whose reply was lost may still take effect.
   base::BootTime UncertainUntil{};
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -33,11 +33,11 @@
 /// The time for which a failover waits for the chosen replica to receive the
 /// whole log of the old primary, when the end of that log is known.
 constexpr milliseconds CatchUpLimit{400};
-/// The fencing token is used only if the view was confirmed within this time. A
-/// coordinator that takes over waits for this node's acknowledgement or for
-/// PrimaryLease, which is longer, before it promotes a server.
-constexpr milliseconds TokenFreshness =
-    cluster::PrimaryLease - milliseconds(500);
+/// The fencing token is used only if the view was confirmed within this node's
+/// lease less this margin, which covers the promotion call. A coordinator that
+/// takes over waits for this node's acknowledgement or for its lease before it
+/// promotes a server.
+constexpr milliseconds TokenMargin{500};
 
 /// Returns the reported status, or nothing when the report is missing or
 /// incomplete.
@@ -59,7 +59,9 @@
   std::size_t Registered = 0;
   /// The nodes that may still use the old primary.
   std::set<std::string> Unacknowledged;
-  /// The number of acknowledgements after which PrimaryLease limits the wait.
+  /// The longest lease that a node may hold.
+  milliseconds Lease = cluster::PrimaryLease;
+  /// The number of acknowledgements after which Lease limits the wait.
   std::size_t Quorum = 0;
   /// When the number of acknowledgements reached Quorum.
   std::optional<base::BootTime> QuorumAt;
@@ -315,6 +317,7 @@
       .add("planned", failover->PrimaryWasReachable ? "yes" : "no")
       .add("unacknowledged",
            static_cast<std::int64_t>(failover->Unacknowledged.size()))
+      .add("lease_ms", failover->Lease)
       .add("quorum", static_cast<std::int64_t>(failover->Quorum))
       .add("elapsed_ms", base::BootClock::now() - failover->StartedAt);
 }
@@ -339,6 +342,7 @@
     revokePeer(failover, peer);
   }
   failover->Registered = failover->Unacknowledged.size();
+  failover->Lease = cluster::longestLease(Cluster->view());
   auto wallTime = std::chrono::duration_cast<milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   failover->Quorum = cluster::revocationQuorum(
@@ -374,15 +378,15 @@
 }
 
 bool FailoverService::hasLeaseEnded(const FailoverPtr &failover) const {
-  constexpr auto Lease = cluster::PrimaryLease + cluster::LeaseMargin;
+  auto lease = failover->Lease + cluster::LeaseMargin;
   auto now = base::BootClock::now();
   std::size_t acknowledged =
       failover->Registered - failover->Unacknowledged.size();
   if (!failover->QuorumAt && acknowledged >= failover->Quorum)
     failover->QuorumAt = now;
-  if (failover->QuorumAt && now - *failover->QuorumAt > Lease)
+  if (failover->QuorumAt && now - *failover->QuorumAt > lease)
     return true;
-  return now - failover->StartedAt > cluster::OfflineLimit + Lease;
+  return now - failover->StartedAt > cluster::OfflineLimit + lease;
 }
 
 void FailoverService::waitForRevocation(const FailoverPtr &failover) {
@@ -502,7 +506,7 @@
 void FailoverService::promote(const FailoverPtr &failover) {
   // A node that was suspended may hold a fencing token that another coordinator
   // has replaced.
-  if (Cluster->viewAge() > TokenFreshness) {
+  if (Cluster->viewAge() > Cluster->lease() - TokenMargin) {
     scheduleStep(failover, StepRetry, &FailoverService::promote);
     return;
   }
