--- a/baobabpin/cluster/ConnectionPlan.cpp
+++ b/baobabpin/cluster/ConnectionPlan.cpp
@@ -22,8 +22,8 @@
 
 } // namespace
 
-bool usesDirectConnections(int serverLimit, int nodes) {
-  return serverLimit >= DirectConnectionsPerNode * nodes;
+bool usesDirectConnections(int serverLimit, int slots, int nodes) {
+  return serverLimit >= (slots + 1) * nodes;
 }
 
 std::vector<std::string> rankOwners(const ServerRegistration &server,
--- a/baobabpin/cluster/ConnectionPlan.h
+++ b/baobabpin/cluster/ConnectionPlan.h
@@ -15,9 +15,6 @@
 
 namespace baobabpin::cluster {
 
-/// Each node connects directly to a server that accepts at least this many
-/// connections per node.
-inline constexpr int DirectConnectionsPerNode = 3;
 /// The number of owners that a node tries before it connects to the server
 /// itself. In a large fleet only the owners connect, because otherwise all
 /// nodes would connect at once, and a refused connection costs the server as
@@ -26,9 +23,11 @@
 inline constexpr std::size_t LargeFleetOwnerCandidates = 4;
 
 /// Returns whether every node holds its own connections to a server that
-/// accepts \p serverLimit connections. \p nodes counts all nodes, this one
-/// included.
-bool usesDirectConnections(int serverLimit, int nodes);
+/// accepts \p serverLimit connections and runs \p slots statements at the same
+/// time. \p nodes counts all nodes, this one included. A node needs one
+/// connection for each slot, and one more because a transaction keeps its
+/// connection while its client pauses.
+bool usesDirectConnections(int serverLimit, int slots, int nodes);
 
 /// Returns the nodes that may own the connections of \p server, in the order of
 /// preference: nodes of the server's zone first. A node of higher capacity is
--- a/baobabpin/cluster/PlacementTest.cpp
+++ b/baobabpin/cluster/PlacementTest.cpp
@@ -103,9 +103,14 @@
     CHECK(rankOwners(server, fleet).size() == LargeFleetOwnerCandidates);
   }
   SUBCASE("is needed only where a server accepts few connections") {
-    CHECK_FALSE(usesDirectConnections(16, 9));
-    CHECK(usesDirectConnections(34, 9));
-    CHECK_FALSE(usesDirectConnections(130, 91));
+    CHECK_FALSE(usesDirectConnections(16, 2, 9));
+    CHECK(usesDirectConnections(34, 2, 9));
+    CHECK_FALSE(usesDirectConnections(130, 2, 91));
+    // Three slots need four connections for each node. With fewer, all
+    // connections are in use when the hosts lose power, and the server counts
+    // them for some seconds after the restart.
+    CHECK_FALSE(usesDirectConnections(22, 3, 6));
+    CHECK(usesDirectConnections(24, 3, 6));
   }
 }
 
