Keep a malformed message from ending the process or extending a lease

Cause: a reply of the store whose AtRevision was no number threw through libevent and ended the node; a peer's reply with a negative age confirmed a lease for the future. Change: handlers of bytes from outside run under kernel::runGuarded(), which logs and counts the exception, and the connection is closed. The decoders check types; ages must be between 0 and 100 years.

--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -20,8 +20,17 @@
   }
 }
 
-std::chrono::milliseconds parseMilliseconds(const json &it) {
-  return std::chrono::milliseconds(it.get<std::int64_t>());
+/// The largest accepted age. An age counts from the start of the host's clock,
+/// and must not overflow as nanoseconds.
+constexpr std::chrono::milliseconds MaxAge = std::chrono::hours(24 * 365 * 100);
+
+/// Returns an age. A negative age would confirm a lease for the future, and is
+/// rejected like any other malformed value.
+std::chrono::milliseconds parseAge(const json &it) {
+  std::chrono::milliseconds age(it.get<std::int64_t>());
+  if (age.count() < 0 || age > MaxAge)
+    throw json::out_of_range::create(401, "age out of range", nullptr);
+  return age;
 }
 
 json toJson(const PositionReport &it) {
@@ -56,7 +65,7 @@
   return {it.at("epoch").get<std::uint64_t>(),
           {it.at("term").get<base::TermNumber>(),
            it.at("index").get<base::LogIndex>()},
-          parseMilliseconds(it.at("age_ms"))};
+          parseAge(it.at("age_ms"))};
 }
 
 } // namespace
@@ -130,11 +139,11 @@
     SyncReply reply;
     reply.View = it.at("view").get<std::string>();
     reply.ViewRevision = it.at("view_revision").get<std::uint64_t>();
-    reply.ViewAge = parseMilliseconds(it.at("view_age_ms"));
-    reply.StoreAge = parseMilliseconds(it.at("store_age_ms"));
+    reply.ViewAge = parseAge(it.at("view_age_ms"));
+    reply.StoreAge = parseAge(it.at("store_age_ms"));
     reply.ConfigVersion = it.at("config_version").get<std::uint64_t>();
-    reply.ConfigAge = parseMilliseconds(it.at("config_age_ms"));
-    reply.ServersAge = parseMilliseconds(it.at("servers_age_ms"));
+    reply.ConfigAge = parseAge(it.at("config_age_ms"));
+    reply.ServersAge = parseAge(it.at("servers_age_ms"));
     reply.CannotConfirm = it.at("cannot_confirm").get<bool>();
     if (it.contains("servers")) {
       reply.Servers.emplace();
@@ -160,7 +169,7 @@
     EvidenceReply reply{std::nullopt, it.at("store").get<bool>(),
                         it.at("moving").get<bool>()};
     if (it.contains("heard_ms"))
-      reply.PrimaryReplyAge = parseMilliseconds(it["heard_ms"]);
+      reply.PrimaryReplyAge = parseAge(it["heard_ms"]);
     return reply;
   });
 }
--- a/baobabpin/http/HttpClient.cpp
+++ b/baobabpin/http/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/http/HttpClient.h"
 
+#include "baobabpin/kernel/Guard.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -238,7 +240,7 @@
   if (reply.Result != Transfer::Completed)
     closeConnection();
   auto callback = std::exchange(Callback, nullptr);
-  callback(std::move(reply));
+  kernel::runGuarded("http_reply", [&] { callback(std::move(reply)); });
 }
 
 HttpConnection::HttpConnection(EventLoop &loop, Endpoint endpoint,
--- a/baobabpin/http/HttpServer.cpp
+++ b/baobabpin/http/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/http/HttpServer.h"
 
+#include "baobabpin/kernel/Guard.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -135,8 +137,11 @@
   evbuffer *body = evhttp_request_get_input_buffer(request);
   received.Body.resize(evbuffer_get_length(body));
   evbuffer_remove(body, received.Body.data(), received.Body.size());
-  it->second(std::move(received),
-             std::make_shared<ConnectionResponder>(connection));
+  auto responder = std::make_shared<ConnectionResponder>(connection);
+  bool handled = kernel::runGuarded(
+      "http_handler", [&] { it->second(std::move(received), responder); });
+  if (!handled)
+    responder->abort();
 }
 
 HttpServer::HttpServer(kernel::EventLoop &loop)
--- a/baobabpin/http/HttpTest.cpp
+++ b/baobabpin/http/HttpTest.cpp
@@ -1,10 +1,13 @@
 #include "baobabpin/http/HttpClient.h"
 #include "baobabpin/http/HttpServer.h"
+#include "baobabpin/kernel/Guard.h"
 
 #include <doctest/doctest.h>
 
 #include <event2/event.h>
 
+#include <stdexcept>
+
 namespace baobabpin::http {
 namespace {
 
@@ -77,6 +80,49 @@
     loop.run();
     CHECK(reply.Result == Transfer::Broken);
   }
+  SUBCASE("a handler that throws loses its connection only") {
+    server.handle("/throw", [](HttpRequest, const ResponderPtr &) {
+      throw std::runtime_error("unexpected");
+    });
+    server.handle("/echo", [](HttpRequest request, ResponderPtr responder) {
+      responder->json(200, request.Body);
+    });
+    auto errors = kernel::unexpectedErrorCount();
+    client.post("/throw", "{}", 5s, storeReply);
+    loop.run();
+    CHECK(reply.Result == Transfer::Broken);
+    CHECK(kernel::unexpectedErrorCount() == errors + 1);
+    client.post("/echo", "next", 5s, storeReply);
+    loop.run();
+    CHECK(reply.Body == "next");
+  }
+  SUBCASE("a slow reply continues as long as bytes arrive") {
+    std::string body(200'000, 'x');
+    server.handle("/large", [&](HttpRequest, ResponderPtr responder) {
+      responder->json(200, body);
+    });
+    // The reply takes half a second at this rate, five times the silence that
+    // ends a request.
+    client.post("/large", "{}",
+                {.Silence = 100ms, .Total = 5s, .BytesPerSecond = 400'000},
+                storeReply);
+    auto start = loop.now();
+    loop.run();
+    CHECK(reply.Result == Transfer::Completed);
+    CHECK(reply.Body == body);
+    CHECK(loop.now() - start > 300ms);
+  }
+  SUBCASE("a reply without any byte ends after the silence") {
+    std::vector<ResponderPtr> silent;
+    server.handle("/silent", [&](HttpRequest, ResponderPtr responder) {
+      silent.push_back(std::move(responder));
+    });
+    client.post("/silent", "{}", {.Silence = 50ms, .Total = 5s}, storeReply);
+    auto start = loop.now();
+    loop.run();
+    CHECK(reply.Result == Transfer::TimedOut);
+    CHECK(loop.now() - start < 2s);
+  }
   SUBCASE("a callback may destroy its connection") {
     server.handle("/echo", [](HttpRequest request, ResponderPtr responder) {
       responder->json(200, request.Body);
--- a/baobabpin/kernel/EventLoop.cpp
+++ b/baobabpin/kernel/EventLoop.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/kernel/EventLoop.h"
 
+#include "baobabpin/kernel/Guard.h"
+
 #include <event2/event.h>
 #include <event2/thread.h>
 
@@ -70,7 +72,7 @@
   auto run = [](evutil_socket_t, short, void *arg) {
     auto *it = static_cast<Timer::State *>(arg);
     it->Running = true;
-    it->Callback();
+    runGuarded("timer", it->Callback);
     it->Running = false;
     if (it->Cancelled)
       delete it;
@@ -100,7 +102,7 @@
       batch.swap(Posted);
     }
     for (auto &it : batch)
-      it();
+      runGuarded("posted_callback", it);
   }
 };
 
@@ -173,7 +175,7 @@
   EventPtr it(event_new(
       Impl->Base, signal, EV_SIGNAL | EV_PERSIST,
       [](evutil_socket_t, short, void *arg) {
-        (*static_cast<std::function<void()> *>(arg))();
+        runGuarded("signal", *static_cast<std::function<void()> *>(arg));
       },
       holder.get()));
   event_add(it.get(), nullptr);
--- a/baobabpin/kernel/EventLoopTest.cpp
+++ b/baobabpin/kernel/EventLoopTest.cpp
@@ -1,7 +1,9 @@
 #include "baobabpin/kernel/EventLoop.h"
+#include "baobabpin/kernel/Guard.h"
 
 #include <doctest/doctest.h>
 
+#include <stdexcept>
 #include <thread>
 
 namespace baobabpin::kernel {
@@ -22,6 +24,20 @@
     loop.run();
     CHECK(order == "ab");
   }
+  SUBCASE("a callback that throws does not end the loop") {
+    auto errors = unexpectedErrorCount();
+    Timer failing =
+        loop.runAfter(1ms, [] { throw std::runtime_error("timer"); });
+    loop.post([] { throw std::runtime_error("posted"); });
+    bool reached = false;
+    loop.postAfter(10ms, [&] {
+      reached = true;
+      loop.stop();
+    });
+    loop.run();
+    CHECK(reached);
+    CHECK(unexpectedErrorCount() == errors + 2);
+  }
   SUBCASE("a cancelled timer never runs") {
     int n = 0;
     Timer cancelled = loop.runAfter(1ms, [&] { ++n; });
--- a/baobabpin/net/LineConnection.cpp
+++ b/baobabpin/net/LineConnection.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/net/LineConnection.h"
 
+#include "baobabpin/kernel/Guard.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -136,8 +138,12 @@
       closeAndNotify();
       return;
     }
-    if (Handlers.OnLine)
-      Handlers.OnLine(std::string_view(line, n));
+    bool handled = kernel::runGuarded("line_handler", [&] {
+      if (Handlers.OnLine)
+        Handlers.OnLine(std::string_view(line, n));
+    });
+    if (!handled)
+      closeAndNotify();
   }
 }
 
@@ -146,7 +152,7 @@
     return;
   close();
   if (Handlers.OnClosed)
-    Handlers.OnClosed();
+    kernel::runGuarded("line_closed", Handlers.OnClosed);
 }
 
 Listener::~Listener() { stop(); }
@@ -158,7 +164,8 @@
   Raw = evconnlistener_new_bind(
       Loop.base(),
       [](evconnlistener *, evutil_socket_t fd, sockaddr *, int, void *arg) {
-        static_cast<Listener *>(arg)->OnAccept(fd);
+        auto *self = static_cast<Listener *>(arg);
+        kernel::runGuarded("accept", [&] { self->OnAccept(fd); });
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
       reinterpret_cast<sockaddr *>(&address), sizeof address);
