Get the configuration at start without waiting for the next tick

Cause: after all hosts lost power, a node that does not read the store waited 500 ms for a peer and synchronised every 350 ms; owners without a configuration refused relayed statements until then. Change: a node without a configuration synchronises every 100 ms and looks for it as soon as the records are known; a leaf reads the store after 250 ms.

--- a/baobabpin/cluster/ClusterView.h
+++ b/baobabpin/cluster/ClusterView.h
@@ -2,8 +2,9 @@
 /// rule for the use of a primary.
 ///
 /// A node may use the primary of a group only while its view was confirmed
-/// within its lease (NodeRecord::Lease). The store confirms a view. While the store is
-/// unreachable, confirmQuorum() nodes that know of nothing newer confirm it.
+/// within its lease (NodeRecord::Lease). The store confirms a view. While the
+/// store is unreachable, confirmQuorum() nodes that know of nothing newer
+/// confirm it.
 ///
 /// The node that runs a failover, its coordinator, first writes an intent:
 /// GroupRecord::FailoverInProgress. It then asks every registered node to
@@ -151,8 +152,8 @@
 
 /// Returns the lease that the node \p self may use: \p wanted, but no more than
 /// its record says, because a coordinator waits for the lease in the record. A
-/// node whose last change may still take effect (\p uncertain) uses the shortest
-/// lease, because its record may be about to say so.
+/// node whose last change may still take effect (\p uncertain) uses the
+/// shortest lease, because its record may be about to say so.
 std::chrono::milliseconds usableLease(const ClusterView &view,
                                       const std::string &self,
                                       std::chrono::milliseconds wanted,
--- a/baobabpin/cluster/ClusterViewTest.cpp
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -34,8 +34,7 @@
   NodeIdentity self{"n1", 11};
   ClusterView view = makeView(self);
   auto use = [&](std::uint64_t revoked, std::chrono::nanoseconds age) {
-    return checkPrimaryUse(view, self, "g", revoked, PrimaryLease,
-                           Start + age);
+    return checkPrimaryUse(view, self, "g", revoked, PrimaryLease, Start + age);
   };
   CHECK(use(0, 0ms) == PrimaryUse::Allowed);
 
--- a/baobabpin/cluster/ConfigRead.h
+++ b/baobabpin/cluster/ConfigRead.h
@@ -20,7 +20,7 @@
 inline constexpr std::chrono::milliseconds ConfigFallbackStep{900};
 /// A node that starts in a large fleet waits this long for a peer that has the
 /// configuration.
-inline constexpr std::chrono::milliseconds ConfigStartupWait{500};
+inline constexpr std::chrono::milliseconds ConfigStartupWait{250};
 
 /// What a node knows about its configuration and its place in the fleet.
 struct ConfigReadState {
--- a/baobabpin/cluster/ConfigReadTest.cpp
+++ b/baobabpin/cluster/ConfigReadTest.cpp
@@ -44,7 +44,7 @@
   SUBCASE("a leaf of a large fleet waits for a peer first") {
     state.IsLeaf = true;
     CHECK_FALSE(isConfigReadDue(state));
-    state.Uptime = 600ms;
+    state.Uptime = 300ms;
     CHECK(isConfigReadDue(state));
   }
 }
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -30,6 +30,8 @@
 /// The time between two synchronisations with peers.
 constexpr milliseconds SyncPeriod{250};
 constexpr milliseconds LargeSyncPeriod{350};
+/// The same for a node without a configuration, which cannot serve clients.
+constexpr milliseconds StartupSyncPeriod{100};
 /// Monitors of a large fleet synchronise more often, so that the nodes that
 /// fetch records from them do not lag much.
 constexpr milliseconds MonitorSyncPeriod{200};
@@ -145,8 +147,8 @@
 
 bool ClusterService::isRegistrationUncertain() const {
   auto it = View.Nodes.find(Self.Node);
-  bool seen = it != View.Nodes.end() &&
-              it->second.Revision >= RegistrationRevision;
+  bool seen =
+      it != View.Nodes.end() && it->second.Revision >= RegistrationRevision;
   return !seen || Registering ||
          base::BootClock::now() < RegistrationUncertainUntil;
 }
@@ -264,6 +266,8 @@
   if (std::exchange(ViewDigest, digest) == digest)
     return;
   updatePlan();
+  if (!configuration())
+    readStore(base::BootClock::now());
   for (const auto &[group, it] : View.Groups) {
     auto old = before.find(group);
     if (old != before.end() && old->second.Value == it.Value)
@@ -376,6 +380,8 @@
                  (Plan.Large ? LargeFallbackAge : FallbackAge);
   bool wide = offline || !configuration() || PositionsWanted;
   auto period = Plan.Large ? LargeSyncPeriod : SyncPeriod;
+  if (!configuration())
+    period = StartupSyncPeriod;
   bool due = wide ? now - LastWideSync > period : isUsualSyncDue(now);
   if (due && !SyncRunning)
     syncWith(syncTargets(wide), wide);
@@ -387,7 +393,8 @@
   // In a large fleet, the view has already aged when it arrives, so a node
   // synchronises at fixed intervals instead of by the age of its view.
   if (Plan.Large)
-    return now - LastSync > (Plan.IsMonitor ? MonitorSyncPeriod : LargeSyncPeriod);
+    return now - LastSync >
+           (Plan.IsMonitor ? MonitorSyncPeriod : LargeSyncPeriod);
   return now - View.ConfirmedAt > RenewAge;
 }
 
@@ -429,8 +436,8 @@
 std::string ClusterService::firstMonitorOfZone() const {
   auto inZone = [this](const std::string &name) {
     auto it = View.Nodes.find(name);
-    return name == Self.Node || (it != View.Nodes.end() &&
-                                 it->second.Value.Zone == Settings.Zone);
+    return name == Self.Node ||
+           (it != View.Nodes.end() && it->second.Value.Zone == Settings.Zone);
   };
   auto first = std::ranges::find_if(Plan.Monitors, inZone);
   return first == Plan.Monitors.end() ? std::string() : *first;
@@ -505,7 +512,8 @@
   if (reply && !reply->CannotConfirm)
     ++round->Confirmations;
   if (reply) {
-    if (std::ranges::find(Plan.SyncSources, peer.Name) != Plan.SyncSources.end())
+    if (std::ranges::find(Plan.SyncSources, peer.Name) !=
+        Plan.SyncSources.end())
       SourceRepliedAt = base::BootClock::now();
     adoptReply(*round, peer, *reply);
   }
--- a/baobabpin/control/ConfigDistribution.cpp
+++ b/baobabpin/control/ConfigDistribution.cpp
@@ -69,9 +69,9 @@
     return;
   SeenRevision = reply.Entry->Revision;
   auto parsed = platform::parseConfiguration(reply.Entry->Value);
-  adopt({parsed ? parsed->Version : 0, reply.Entry->Revision,
-         reply.Entry->Value},
-        "store");
+  adopt(
+      {parsed ? parsed->Version : 0, reply.Entry->Revision, reply.Entry->Value},
+      "store");
 }
 
 bool ConfigDistribution::adopt(distribution::Document document,
@@ -135,10 +135,9 @@
                                      Transfer.Header.ToVersion,
                                      Transfer.Bytes.size()};
   PieceOutstanding = true;
-  Caller.call(source.Endpoint, ConfigPath, distribution::encode(request),
-              PieceTimeout, [this, name = source.Name](const auto &body) {
-                onPiece(body, name);
-              });
+  Caller.call(
+      source.Endpoint, ConfigPath, distribution::encode(request), PieceTimeout,
+      [this, name = source.Name](const auto &body) { onPiece(body, name); });
 }
 
 void ConfigDistribution::onPiece(const std::optional<std::string> &body,
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -74,8 +74,8 @@
   void onEvidence(const base::GroupName &group,
                   const cluster::FailoverEvidence &evidence);
   /// Announces the failovers of all groups in DueIntents, with this node as
-  /// their coordinator, in one change of the store. The primaries of a zone fail
-  /// together, and one change for each would delay the last of them.
+  /// their coordinator, in one change of the store. The primaries of a zone
+  /// fail together, and one change for each would delay the last of them.
   void writeIntents();
   void startFailover(const base::GroupName &group);
   /// Returns whether the group's record is still the one that the failover
--- a/baobabpin/control/MalformedMessagesTest.cpp
+++ b/baobabpin/control/MalformedMessagesTest.cpp
@@ -70,7 +70,8 @@
       {"client message",
        [](const auto &it) { (void)platform::parseClientMessage(it); }},
       {"statement", [](const auto &it) { (void)platform::parseStatement(it); }},
-      {"status row", [](const auto &it) { (void)platform::parseStatusRow(it); }},
+      {"status row",
+       [](const auto &it) { (void)platform::parseStatusRow(it); }},
       {"settings",
        [](const auto &it) {
          base::handleFailure(
@@ -91,7 +92,8 @@
   reply.Positions["g"] = {1, {2, 3}, 4ms};
   cluster::ClusterView view;
   view.Groups["g"].Value = {.Epoch = 3, .Primary = "s1"};
-  view.Nodes["n1"].Value = {.Peer = {"10.0.0.1", 70}, .Relay = {"10.0.0.1", 71}};
+  view.Nodes["n1"].Value = {.Peer = {"10.0.0.1", 70},
+                            .Relay = {"10.0.0.1", 71}};
   reply.View = cluster::encodeView(view);
   return {
       encode(SyncRequest{.Node = "n1"}),
@@ -123,8 +125,9 @@
 /// Replaces, removes or inserts a few bytes, or a value of another type.
 std::string damage(std::string text, std::minstd_rand &random) {
   static const std::vector<std::string> Values{
-      "null", "-1", "1e300", "\"x\"", "[]", "{}", "true",
-      "18446744073709551616", "\xff\xfe", "\r\n", ":", ""};
+      "null",     "-1",   "1e300", "\"x\"",
+      "[]",       "{}",   "true",  "18446744073709551616",
+      "\xff\xfe", "\r\n", ":",     ""};
   int changes = 1 + static_cast<int>(random() % 3);
   for (int n = 0; n < changes && !text.empty(); ++n) {
     std::size_t at = random() % text.size();
--- a/baobabpin/distribution/DistributionTest.cpp
+++ b/baobabpin/distribution/DistributionTest.cpp
@@ -119,8 +119,8 @@
     REQUIRE(n < 100);
     PieceRequest request{1, transfer.Header.ToVersion, transfer.Bytes.size()};
     DocumentArchive &source = n % 2 == 0 ? first : second;
-    acceptPiece(transfer, cutPiece(*source.patchFor(1, request.WantedVersion),
-                                   request));
+    acceptPiece(transfer,
+                cutPiece(*source.patchFor(1, request.WantedVersion), request));
   }
   CHECK(applyPatch(makeDocument(1, 3), {transfer.Header, transfer.Bytes}) ==
         makeDocument(2, 1500));
--- a/baobabpin/distribution/Patch.cpp
+++ b/baobabpin/distribution/Patch.cpp
@@ -64,9 +64,9 @@
   ZSTD_DCtx_refPrefix(decompressor.get(), from.Text.data(), from.Text.size());
   Document document{header.ToVersion, header.StoreRevision, {}};
   document.Text.resize(header.TextSize);
-  std::size_t n = ZSTD_decompressDCtx(
-      decompressor.get(), document.Text.data(), document.Text.size(),
-      patch.Bytes.data(), patch.Bytes.size());
+  std::size_t n = ZSTD_decompressDCtx(decompressor.get(), document.Text.data(),
+                                      document.Text.size(), patch.Bytes.data(),
+                                      patch.Bytes.size());
   if (ZSTD_isError(n) || n != header.TextSize ||
       base::hash64(document.Text) != header.TextHash)
     return std::nullopt;
--- a/baobabpin/distribution/PatchTransfer.cpp
+++ b/baobabpin/distribution/PatchTransfer.cpp
@@ -18,9 +18,9 @@
 bool acceptPiece(PatchTransfer &transfer, const Piece &piece) {
   if (piece.Header != transfer.Header)
     transfer = {piece.Header, {}};
-  bool fits = piece.Offset == transfer.Bytes.size() &&
-              piece.Bytes.size() <=
-                  transfer.Header.PatchSize - transfer.Bytes.size();
+  bool fits =
+      piece.Offset == transfer.Bytes.size() &&
+      piece.Bytes.size() <= transfer.Header.PatchSize - transfer.Bytes.size();
   if (!fits || piece.Bytes.empty())
     return false;
   transfer.Bytes += piece.Bytes;
--- a/baobabpin/frontend/OwnerChannels.cpp
+++ b/baobabpin/frontend/OwnerChannels.cpp
@@ -47,8 +47,8 @@
   if (!config || group == config->Groups.end())
     return ConnectionRole::Direct;
   int nodes = static_cast<int>(Cluster.view().Nodes.size());
-  if (cluster::usesDirectConnections(group->second.MaxConnections,
-                                     server.Slots, nodes))
+  if (cluster::usesDirectConnections(group->second.MaxConnections, server.Slots,
+                                     nodes))
     return ConnectionRole::Direct;
   const auto &owners = ownersOf(server);
   auto rank = std::ranges::find(owners, Cluster.self().Node);
--- a/baobabpin/http/HttpClient.cpp
+++ b/baobabpin/http/HttpClient.cpp
@@ -39,8 +39,8 @@
 
 namespace {
 
-using RateLimitPtr = std::unique_ptr<ev_token_bucket_cfg,
-                                     decltype(&ev_token_bucket_cfg_free)>;
+using RateLimitPtr =
+    std::unique_ptr<ev_token_bucket_cfg, decltype(&ev_token_bucket_cfg_free)>;
 
 /// Returns a limit for reading, shared out every 10 ms, or null for no limit.
 RateLimitPtr makeReadLimit(std::int64_t bytesPerSecond) {
@@ -179,10 +179,10 @@
       },
       this);
   // evhttp removes each part of the body from the request after this callback.
-  evhttp_request_set_chunked_cb(Request, [](evhttp_request *request,
-                                            void *arg) {
-    static_cast<State *>(arg)->onReplyPart(request);
-  });
+  evhttp_request_set_chunked_cb(
+      Request, [](evhttp_request *request, void *arg) {
+        static_cast<State *>(arg)->onReplyPart(request);
+      });
   auto *headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(headers, "Host", Target.Address.c_str());
   evhttp_add_header(headers, "Content-Type", "application/json");
