Report a request as not sent when no descriptor is free

Cause: without a free descriptor evhttp calls the request's callback inside evhttp_make_request(); the connection was closed there and then dereferenced. Change: the failure is delivered after post() has returned, as documented.

--- a/baobabpin/http/HttpClient.cpp
+++ b/baobabpin/http/HttpClient.cpp
@@ -77,6 +77,10 @@
   RateLimitPtr ReadLimit{nullptr, &ev_token_bucket_cfg_free};
   /// The part of the reply's body that has arrived.
   std::string Received;
+  /// evhttp_make_request() is running. If it cannot create a socket, it reports
+  /// the failure through the request's callback before it returns.
+  bool Sending = false;
+  bool FailedWhileSending = false;
   /// Set when libevent reports that the connection was closed.
   bool Closed = false;
 
@@ -192,23 +196,31 @@
                body.size());
   restartSilence();
   TotalTimer = Loop.runAfter(limits.Total, [this] { onTimeout(); });
-  if (evhttp_make_request(Connection, Request, method, path.c_str()) == 0) {
+  Sending = true;
+  bool accepted =
+      evhttp_make_request(Connection, Request, method, path.c_str()) == 0;
+  Sending = false;
+  if (accepted && !std::exchange(FailedWhileSending, false)) {
     // Header and body are two small writes. With Nagle's algorithm, the second
     // one would wait 40 to 200 ms for a delayed acknowledgement.
     int one = 1;
     auto fd = bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  } else {
-    Request = nullptr;
-    SilenceTimer.cancel();
-    TotalTimer = Loop.runAfter({}, [this] {
-      finish({Transfer::NotSent, 0, {}});
-    });
+    return;
   }
+  Request = nullptr;
+  cancelTimers();
+  TotalTimer = Loop.runAfter({}, [this] {
+    finish({Transfer::NotSent, 0, {}});
+  });
 }
 
 void HttpConnection::State::onReply(evhttp_request *request) {
   Request = nullptr;
+  if (Sending) {
+    FailedWhileSending = true;
+    return;
+  }
   // If connecting failed, evhttp passes a request with status 0. If the
   // connection was lost later, it passes no request.
   if (!request) {
--- a/baobabpin/http/HttpTest.cpp
+++ b/baobabpin/http/HttpTest.cpp
@@ -6,6 +6,9 @@
 
 #include <event2/event.h>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <stdexcept>
 
 namespace baobabpin::http {
@@ -143,6 +146,27 @@
     loop.run();
     CHECK(reply.Result == Transfer::NotSent);
   }
+  SUBCASE("without a free descriptor, the request is reported as not sent") {
+    // The callback still runs after post() has returned.
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    int next = dup(STDOUT_FILENO);
+    close(next);
+    rlimit exhausted{static_cast<rlim_t>(next), limit.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &exhausted);
+    HttpConnection unconnected(loop, endpoint);
+    bool returned = false;
+    bool calledAfterReturn = false;
+    unconnected.post("/echo", "{}", 1s, [&](HttpReply it) {
+      calledAfterReturn = returned;
+      storeReply(std::move(it));
+    });
+    returned = true;
+    loop.run();
+    setrlimit(RLIMIT_NOFILE, &limit);
+    CHECK(reply.Result == Transfer::NotSent);
+    CHECK(calledAfterReturn);
+  }
   SUBCASE("a connection is counted from its first request until it closes") {
     std::uint64_t opened = 0;
     std::uint64_t closed = 0;
