Ask the monitors about all suspected primaries in one call

Cause: each suspected group was a call of its own to every monitor every 200 ms, and each concurrent call needs a connection. Change: one call for each monitor carries all groups that are due in a tick.

--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -643,12 +643,15 @@
 
 void ClusterService::onEvidence(const EvidenceRequest &request,
                                 const http::ResponderPtr &responder) {
-  // Only a suspicion makes this node poll its peers in turn; otherwise two
-  // nodes would poll each other forever.
-  if (request.Suspected)
-    Hooks.OnPrimarySuspected(request.Group);
-  EvidenceReply reply{Hooks.PrimaryReplyAge(request.Group), isStoreReachable(),
-                      Hooks.IsFailingOver(request.Group)};
+  EvidenceReply reply{.StoreReachable = isStoreReachable()};
+  for (const auto &[group, suspected] : request.Suspected) {
+    // Only a suspicion makes this node poll its peers in turn; otherwise two
+    // nodes would poll each other forever.
+    if (suspected)
+      Hooks.OnPrimarySuspected(group);
+    reply.Groups[group] = {Hooks.PrimaryReplyAge(group),
+                           Hooks.IsFailingOver(group)};
+  }
   responder->json(200, encode(reply));
 }
 
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -83,6 +83,12 @@
   kernel::Timer Next;
 };
 
+/// One round of calls to the monitors about several groups.
+struct FailoverService::EvidenceRound {
+  std::map<base::GroupName, cluster::FailoverEvidence> Groups;
+  std::size_t Outstanding = 0;
+};
+
 FailoverService::FailoverService(http::Endpoint promotions, ServerAccess access,
                                  kernel::LineLog &log)
     : Access(std::move(access)), Log(log),
@@ -119,6 +125,8 @@
     return;
   for (const auto &[group, it] : config->Groups)
     checkGroup(group);
+  if (!DuePolls.empty())
+    pollPeers();
 }
 
 void FailoverService::checkGroup(const base::GroupName &group) {
@@ -168,7 +176,7 @@
     return;
   state.SuspectedByPeer = false;
   state.NextPoll = now + PollPeriod;
-  pollPeers(group, takingOver);
+  DuePolls[group] = takingOver;
 }
 
 void FailoverService::createRecord(const base::GroupName &group) {
@@ -187,37 +195,56 @@
   }
 }
 
-void FailoverService::pollPeers(const base::GroupName &group, bool takingOver) {
-  auto evidence = std::make_shared<cluster::FailoverEvidence>();
-  evidence->Self = Cluster->self().Node;
-  evidence->TakingOver = takingOver;
-  evidence->RecordRevision = Cluster->view().Groups.at(group).Revision;
+void FailoverService::pollPeers() {
+  auto round = std::make_shared<EvidenceRound>();
   auto peers = Cluster->monitors();
-  evidence->PeersAsked = peers.size();
-  auto outstanding = std::make_shared<std::size_t>(peers.size());
-  EvidenceRequest request{group, takingOver ||
-                                     cluster::isSuspect(Access.Observe(group))};
-  Checks[group].Polling = true;
+  round->Outstanding = peers.size();
+  EvidenceRequest request;
+  for (const auto &[group, takingOver] : std::exchange(DuePolls, {})) {
+    round->Groups[group] = {.Self = Cluster->self().Node,
+                            .PeersAsked = peers.size(),
+                            .RecordRevision =
+                                Cluster->view().Groups.at(group).Revision,
+                            .TakingOver = takingOver};
+    request.Suspected[group] =
+        takingOver || cluster::isSuspect(Access.Observe(group));
+    Checks[group].Polling = true;
+  }
   if (peers.empty()) {
-    onEvidence(group, *evidence);
+    endRound(*round);
     return;
   }
+  std::string body = encode(request);
   for (const auto &peer : peers) {
-    auto onReply = [this, group, evidence, outstanding,
-                    node = peer.Name](const std::optional<std::string> &body) {
-      auto reply = body ? decodeEvidenceReply(*body) : std::nullopt;
-      if (reply)
-        evidence->Peers.push_back({node, reply->StoreReachable,
-                                   reply->FailoverInProgress,
-                                   reply->PrimaryReplyAge});
-      if (--*outstanding == 0)
-        onEvidence(group, *evidence);
+    auto onReply = [this, round,
+                    node = peer.Name](const std::optional<std::string> &text) {
+      if (auto reply = text ? decodeEvidenceReply(*text) : std::nullopt)
+        addEvidence(*round, node, *reply);
+      if (--round->Outstanding == 0)
+        endRound(*round);
     };
-    Cluster->caller().call(peer.Endpoint, EvidencePath, encode(request),
-                           EvidenceTimeout, onReply);
+    Cluster->caller().call(peer.Endpoint, EvidencePath, body, EvidenceTimeout,
+                           onReply);
   }
 }
 
+void FailoverService::addEvidence(EvidenceRound &round, const std::string &node,
+                                  const EvidenceReply &reply) {
+  for (auto &[group, evidence] : round.Groups) {
+    auto it = reply.Groups.find(group);
+    if (it == reply.Groups.end())
+      continue;
+    evidence.Peers.push_back({node, reply.StoreReachable,
+                              it->second.FailoverInProgress,
+                              it->second.PrimaryReplyAge});
+  }
+}
+
+void FailoverService::endRound(const EvidenceRound &round) {
+  for (const auto &[group, evidence] : round.Groups)
+    onEvidence(group, evidence);
+}
+
 void FailoverService::onEvidence(const base::GroupName &group,
                                  const cluster::FailoverEvidence &collected) {
   Checks[group].Polling = false;
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -53,6 +53,7 @@
 private:
   /// A failover that this node coordinates.
   struct Failover;
+  struct EvidenceRound;
   using FailoverPtr = std::shared_ptr<Failover>;
   /// The state of the checks of one group.
   struct GroupCheckState {
@@ -69,7 +70,12 @@
   void tick();
   void checkGroup(const base::GroupName &group);
   void createRecord(const base::GroupName &group);
-  void pollPeers(const base::GroupName &group, bool takingOver);
+  /// Asks the monitors about the primaries of all groups in DuePolls.
+  void pollPeers();
+  /// Adds the reply of \p node to the evidence about each group.
+  static void addEvidence(EvidenceRound &round, const std::string &node,
+                          const EvidenceReply &reply);
+  void endRound(const EvidenceRound &round);
   /// Decides on a failover after all peers have replied or timed out.
   void onEvidence(const base::GroupName &group,
                   const cluster::FailoverEvidence &evidence);
@@ -108,6 +114,9 @@
   /// When a group without a record was first seen.
   std::map<base::GroupName, base::BootTime> MissingSince;
   std::map<base::GroupName, FailoverPtr> Failovers;
+  /// The groups to ask the peers about in this tick, and whether this node
+  /// would take over a failover of theirs.
+  std::map<base::GroupName, bool> DuePolls;
   /// The groups whose failover this node will announce, and the revision of
   /// their records when that was decided.
   std::map<base::GroupName, std::uint64_t> DueIntents;
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -106,14 +106,17 @@
 }
 
 std::string encode(const EvidenceReply &it) {
-  json body{{"store", it.StoreReachable}, {"moving", it.FailoverInProgress}};
-  if (it.PrimaryReplyAge)
-    body["heard_ms"] = it.PrimaryReplyAge->count();
-  return body.dump();
+  json groups = json::object();
+  for (const auto &[group, evidence] : it.Groups) {
+    groups[group] = {{"moving", evidence.FailoverInProgress}};
+    if (evidence.PrimaryReplyAge)
+      groups[group]["heard_ms"] = evidence.PrimaryReplyAge->count();
+  }
+  return json{{"store", it.StoreReachable}, {"groups", groups}}.dump();
 }
 
 std::string encode(const EvidenceRequest &it) {
-  return json{{"group", it.Group}, {"suspected", it.Suspected}}.dump();
+  return json{{"suspected", it.Suspected}}.dump();
 }
 
 std::uint64_t
@@ -166,18 +169,21 @@
 
 std::optional<EvidenceReply> decodeEvidenceReply(const std::string &text) {
   return decode(text, [](const json &it) {
-    EvidenceReply reply{std::nullopt, it.at("store").get<bool>(),
-                        it.at("moving").get<bool>()};
-    if (it.contains("heard_ms"))
-      reply.PrimaryReplyAge = parseAge(it["heard_ms"]);
+    EvidenceReply reply{it.at("store").get<bool>(), {}};
+    for (const auto &[group, evidence] : it.at("groups").items()) {
+      GroupEvidence &known = reply.Groups[group];
+      known.FailoverInProgress = evidence.at("moving").get<bool>();
+      if (evidence.contains("heard_ms"))
+        known.PrimaryReplyAge = parseAge(evidence["heard_ms"]);
+    }
     return reply;
   });
 }
 
 std::optional<EvidenceRequest> decodeEvidenceRequest(const std::string &text) {
   return decode(text, [](const json &it) {
-    return EvidenceRequest{it.at("group").get<std::string>(),
-                           it.at("suspected").get<bool>()};
+    return EvidenceRequest{
+        it.at("suspected").get<std::map<base::GroupName, bool>>()};
   });
 }
 
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -70,23 +70,29 @@
   std::string Change;
 };
 
-/// Asks what a node knows about a group's primary.
+/// Asks what a node knows about the primaries of several groups. When a zone is
+/// lost, many primaries are suspected at once; one call for each group would
+/// need a connection for each.
 struct EvidenceRequest {
-  base::GroupName Group;
-  /// The caller has itself observed that the primary may have failed or is
-  /// leaving, or it takes over a stalled failover. Otherwise it polls because a
-  /// peer reported a suspicion.
-  bool Suspected = false;
+  /// For each group, whether the caller has itself observed that the primary
+  /// may have failed or is leaving, or takes over a stalled failover. Otherwise
+  /// it polls because a peer reported a suspicion.
+  std::map<base::GroupName, bool> Suspected;
 };
 
-struct EvidenceReply {
+/// What the replying node knows about one group's primary.
+struct GroupEvidence {
   /// The time since the last reply of the group's primary to this node.
   std::optional<std::chrono::milliseconds> PrimaryReplyAge;
+  /// This node is running a failover of the group.
+  bool FailoverInProgress = false;
+};
+
+struct EvidenceReply {
   /// The replying node itself has read the records from the store within the
   /// last two seconds.
   bool StoreReachable = false;
-  /// This node is running a failover of the group.
-  bool FailoverInProgress = false;
+  std::map<base::GroupName, GroupEvidence> Groups;
 };
 
 std::string encode(const SyncRequest &it);
