Keep a primary whose connections' owner was lost

The other nodes lost contact with all three primaries through them at the same time, and the rule of "Announce failovers of several groups together; ignore replies sent before the silence" replaced three healthy primaries, although this node's direct probe had been answered 2 ms before the decision. Several groups are still announced together.

--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -31,22 +31,12 @@
 
 namespace {
 
-/// Returns the age below which a peer's last reply from the primary shows that
-/// the primary is alive.
-std::chrono::nanoseconds confirmingReplyAge(const PrimaryObservation &own) {
-  if (!own.PrimaryReplyAge)
-    return AliveReplyAge;
-  return std::clamp<std::chrono::nanoseconds>(
-      *own.PrimaryReplyAge - LaterReplyMargin, RecentReplyAge, AliveReplyAge);
-}
-
 /// Returns whether at least half of the reachable nodes, this one included,
 /// have a recent reply from the primary.
 bool isConfirmedAlive(const FailoverEvidence &evidence) {
   std::size_t aliveReports = isSuspect(evidence.Own) ? 0 : 1;
-  auto limit = confirmingReplyAge(evidence.Own);
   for (const auto &it : evidence.Peers) {
-    if (it.PrimaryReplyAge && *it.PrimaryReplyAge < limit)
+    if (it.PrimaryReplyAge && *it.PrimaryReplyAge < AliveReplyAge)
       ++aliveReports;
   }
   return 2 * aliveReports >= evidence.Peers.size() + 1;
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -23,17 +23,9 @@
 inline constexpr std::chrono::milliseconds SuspectAfter{450};
 /// The shorter limit that applies when connections to the primary fail at once.
 inline constexpr std::chrono::milliseconds SuspectUnreachableAfter{250};
-/// A node that received a reply from the primary within this time may confirm
-/// that the primary is alive.
+/// A node that received a reply from the primary within this time confirms that
+/// the primary is alive.
 inline constexpr std::chrono::milliseconds AliveReplyAge{450};
-/// The reply must also be later than the last one to the node that asks by more
-/// than this, the time between two probes. Otherwise it was sent before that
-/// node's first unanswered probe and does not show that the primary is alive
-/// now.
-inline constexpr std::chrono::milliseconds LaterReplyMargin{200};
-/// A reply within this time is always recent enough, because probes and their
-/// replies take about as long.
-inline constexpr std::chrono::milliseconds RecentReplyAge{250};
 /// A node that reaches fewer than half of the nodes it asks starts a failover
 /// only after this time without a reply from the primary. The delay does not
 /// apply to a planned failover, to a takeover, or to a primary that never
