--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -101,14 +101,13 @@
   };
   RecordsReader = std::make_unique<PrefixReader>(
       *Store, platform::ProxyPrefix,
-      ReadHandlers{[this](const auto &entries, auto revision, auto sentAt) {
-                     onRecords(entries, revision, sentAt);
-                   },
-                   onAvailability("records")});
+      ReadHandlers{
+          [this](const auto &page, auto sentAt) { onRecords(page, sentAt); },
+          onAvailability("records")});
   ServersReader = std::make_unique<PrefixReader>(
       *Store, platform::ServersPrefix,
-      ReadHandlers{[this](const auto &entries, auto, auto sentAt) {
-                     onServerEntries(entries, sentAt);
+      ReadHandlers{[this](const auto &page, auto sentAt) {
+                     onServerEntries(page.Entries, sentAt);
                    },
                    onAvailability("servers")});
   readStore(base::BootClock::now());
@@ -225,14 +224,26 @@
     LastLarge = base::BootClock::now();
 }
 
-void ClusterService::onRecords(const std::vector<store::StoreEntry> &entries,
-                               std::uint64_t revision, base::BootTime sentAt) {
+void ClusterService::noteEra(platform::StoreEra era, std::uint64_t revision) {
+  auto previous = std::exchange(Era, era);
+  if (era == previous)
+    return;
+  Log.line("store_era")
+      .add("era", static_cast<std::int64_t>(era))
+      .add("previous", static_cast<std::int64_t>(previous))
+      .add("revision", static_cast<std::int64_t>(revision))
+      .add("known_revision", static_cast<std::int64_t>(View.Revision));
+}
+
+void ClusterService::onRecords(const platform::RangePage &page,
+                               base::BootTime sentAt) {
+  noteEra(page.Era, page.Revision);
   cluster::ClusterView fresh;
-  for (const auto &it : entries) {
+  for (const auto &it : page.Entries) {
     if (!cluster::applyEntry(fresh, platform::ProxyPrefix, it))
       Log.line("record_unreadable").add("key", it.Key);
   }
-  fresh.Revision = revision;
+  fresh.Revision = page.Revision;
   fresh.ConfirmedAt = sentAt;
   fresh.StoreConfirmedAt = sentAt;
   OwnStoreReadAt = std::max(OwnStoreReadAt, sentAt);
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -144,10 +144,11 @@
                 const http::ResponderPtr &responder);
   void onEvidence(const EvidenceRequest &request,
                   const http::ResponderPtr &responder);
-  void onRecords(const std::vector<store::StoreEntry> &entries,
-                 std::uint64_t revision, base::BootTime sentAt);
+  void onRecords(const platform::RangePage &page, base::BootTime sentAt);
   void onServerEntries(const std::vector<store::StoreEntry> &entries,
                        base::BootTime sentAt);
+  /// Logs that the store was restored from an older copy.
+  void noteEra(platform::StoreEra era, std::uint64_t revision);
   void adoptView(cluster::ClusterView view, std::string_view source);
   /// Writes the registration of this node unless the view contains it.
   void ensureRegistered();
@@ -216,6 +217,8 @@
   std::vector<std::function<void()>> Listeners;
   cluster::ClusterView View;
   std::uint64_t ViewDigest = 0;
+  /// The last era that the store has reported.
+  platform::StoreEra Era = 0;
   cluster::FleetPlan Plan;
   /// The last reply from one of Plan.SyncSources.
   base::BootTime SourceRepliedAt{};
--- a/baobabpin/control/PrefixReader.cpp
+++ b/baobabpin/control/PrefixReader.cpp
@@ -33,7 +33,7 @@
     if (std::exchange(Available, ok) != ok)
       Handlers.OnAvailability(ok);
     if (ok)
-      Handlers.OnSnapshot(page.Entries, page.Revision, sentAt);
+      Handlers.OnSnapshot(page, sentAt);
     if (std::exchange(ReadAgain, false) && ok)
       read();
   }
--- a/baobabpin/control/PrefixReader.h
+++ b/baobabpin/control/PrefixReader.h
@@ -10,15 +10,12 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace baobabpin::control {
 
 struct ReadHandlers {
-  /// Called with all entries as of \p revision. The request was sent at
-  /// \p sentAt.
-  std::function<void(const std::vector<store::StoreEntry> &entries,
-                     std::uint64_t revision, base::BootTime sentAt)>
+  /// Called with all entries. The request was sent at \p sentAt.
+  std::function<void(const platform::RangePage &page, base::BootTime sentAt)>
       OnSnapshot;
   /// Called when a read has failed after a success, or has succeeded after a
   /// failure.
--- a/baobabpin/http/HttpClient.cpp
+++ b/baobabpin/http/HttpClient.cpp
@@ -10,6 +10,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -37,8 +38,24 @@
   return endpoint.Address + ":" + std::to_string(endpoint.Port);
 }
 
+std::string headerOf(const HttpReply &reply, const char *name) {
+  auto it = std::ranges::find_if(reply.Headers, [name](const HttpHeader &it) {
+    return strcasecmp(it.Name.c_str(), name) == 0;
+  });
+  return it == reply.Headers.end() ? std::string() : it->Value;
+}
+
 namespace {
 
+/// Returns the headers of the reply to \p request.
+HttpHeaders headersOf(evhttp_request *request) {
+  HttpHeaders headers;
+  const auto *list = evhttp_request_get_input_headers(request);
+  for (const auto *it = list->tqh_first; it; it = it->next.tqe_next)
+    headers.push_back({it->key, it->value});
+  return headers;
+}
+
 using RateLimitPtr =
     std::unique_ptr<ev_token_bucket_cfg, decltype(&ev_token_bucket_cfg_free)>;
 
@@ -233,7 +250,8 @@
     return;
   }
   onReplyPart(request);
-  finish({Transfer::Completed, status, std::move(Received)});
+  finish(
+      {Transfer::Completed, status, std::move(Received), headersOf(request)});
 }
 
 void HttpConnection::State::onReplyPart(evhttp_request *request) {
--- a/baobabpin/http/HttpClient.h
+++ b/baobabpin/http/HttpClient.h
@@ -41,19 +41,24 @@
              ///< sent.
 };
 
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+};
+using HttpHeaders = std::vector<HttpHeader>;
+
 struct HttpReply {
   Transfer Result = Transfer::Broken;
   int Status = 0; ///< HTTP status code; 0 unless Result is Completed.
   std::string Body;
+  HttpHeaders Headers = {};
 };
 
-using ReplyCallback = std::function<void(HttpReply)>;
+/// Returns the value of the header \p name, whose case does not matter, or an
+/// empty string if the reply does not have it.
+std::string headerOf(const HttpReply &reply, const char *name);
 
-struct HttpHeader {
-  std::string Name;
-  std::string Value;
-};
-using HttpHeaders = std::vector<HttpHeader>;
+using ReplyCallback = std::function<void(HttpReply)>;
 
 /// How long to wait for a reply whose size is not known. A slow transfer
 /// continues as long as bytes arrive.
--- a/baobabpin/http/HttpServer.cpp
+++ b/baobabpin/http/HttpServer.cpp
@@ -61,8 +61,9 @@
     abort();
   }
 
+  using Responder::respond;
   void respond(int status, const std::string &contentType,
-               const std::string &body) override {
+               const std::string &body, const HttpHeaders &extra) override {
     auto connection = Target.lock();
     evhttp_request *request = takeRequest();
     if (!request)
@@ -71,6 +72,8 @@
     if (connection->Owner->ClosesAfterReplies)
       evhttp_add_header(headers, "Connection", "close");
     evhttp_add_header(headers, "Content-Type", contentType.c_str());
+    for (const auto &it : extra)
+      evhttp_add_header(headers, it.Name.c_str(), it.Value.c_str());
     evbuffer *buf = evhttp_request_get_output_buffer(request);
     evbuffer_add(buf, body.data(), body.size());
     evhttp_send_reply(request, status, nullptr, nullptr);
--- a/baobabpin/http/HttpServer.h
+++ b/baobabpin/http/HttpServer.h
@@ -35,14 +35,19 @@
 class Responder {
 public:
   virtual ~Responder() = default;
-  /// Sends a reply.
+  /// Sends a reply, with \p headers besides the usual ones.
   virtual void respond(int status, const std::string &contentType,
-                       const std::string &body) = 0;
+                       const std::string &body, const HttpHeaders &headers) = 0;
+  void respond(int status, const std::string &contentType,
+               const std::string &body) {
+    respond(status, contentType, body, {});
+  }
   /// Closes the connection without a reply.
   virtual void abort() = 0;
   /// Sends a reply with a JSON body.
-  void json(int status, const std::string &body) {
-    respond(status, "application/json", body);
+  void json(int status, const std::string &body,
+            const HttpHeaders &headers = {}) {
+    respond(status, "application/json", body, headers);
   }
 };
 
--- a/baobabpin/http/HttpTest.cpp
+++ b/baobabpin/http/HttpTest.cpp
@@ -45,6 +45,15 @@
     loop.stop();
   };
 
+  SUBCASE("the headers of the reply are found whatever their case") {
+    server.handle("/", [](const HttpRequest &, const ResponderPtr &responder) {
+      responder->json(200, "{}", {{"X-Era", "4"}});
+    });
+    client.get("/", 5s, storeReply);
+    loop.run();
+    CHECK(headerOf(reply, "x-era") == "4");
+    CHECK(headerOf(reply, "absent").empty());
+  }
   SUBCASE("a body of 100 kB is transferred completely") {
     server.handle("/echo", [](HttpRequest request, ResponderPtr responder) {
       responder->json(200, request.Body);
