Keep a server draining when an older copy of the store shows it as ready

A server that had begun to drain in the lost seconds counted as ready until it had registered again. Change: the directory remembers for five minutes which run of a server drains (Id and the start of its process) and keeps it draining. The next run under the same Id is ready, and so is a server that does not report its start.

--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -68,6 +68,9 @@
   /// The role that the server reports. A server that missed a failover may
   /// still report to be the primary.
   sql::ServerRole Role = sql::ServerRole::Replica;
+  /// The start of the server's process, in Unix milliseconds, or 0 if it does
+  /// not report it. It distinguishes two runs under the same Id.
+  std::int64_t StartedMs = 0;
 
   bool operator==(const ServerRegistration &) const = default;
 };
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -47,7 +47,8 @@
           {"zone", it.Zone},
           {"draining", it.Draining},
           {"slots", it.Slots},
-          {"primary", it.Role == sql::ServerRole::Primary}};
+          {"primary", it.Role == sql::ServerRole::Primary},
+          {"started_ms", it.StartedMs}};
 }
 
 cluster::ServerRegistration serverFrom(const json &it) {
@@ -58,7 +59,8 @@
           it.at("draining").get<bool>(),
           it.at("slots").get<int>(),
           it.at("primary").get<bool>() ? sql::ServerRole::Primary
-                                       : sql::ServerRole::Replica};
+                                       : sql::ServerRole::Replica,
+          it.at("started_ms").get<std::int64_t>()};
 }
 
 PositionReport positionFrom(const json &it) {
--- a/baobabpin/control/ServerDirectory.cpp
+++ b/baobabpin/control/ServerDirectory.cpp
@@ -15,6 +15,7 @@
     base::BootTime confirmedAt, base::BootTime now) {
   if (confirmedAt <= ConfirmedAt)
     return false;
+  restoreDraining(registrations, now);
   if (registrations != Registrations) {
     Registrations = std::move(registrations);
     Digest = digestOf(Registrations);
@@ -22,6 +23,25 @@
   return confirm(confirmedAt, now);
 }
 
+void ServerDirectory::restoreDraining(
+    std::vector<cluster::ServerRegistration> &registrations,
+    base::BootTime now) {
+  std::erase_if(DrainingRuns, [now](const auto &it) {
+    return now - it.second.LastSeen > DrainMemory;
+  });
+  for (auto &it : registrations) {
+    auto run = DrainingRuns.find(it.Id);
+    if (run != DrainingRuns.end() && run->second.StartedMs == it.StartedMs &&
+        !it.Draining) {
+      it.Draining = true;
+      Log.line("drain_kept").add("server", it.Id);
+    }
+    // Without the start of the run, a later one would be taken for it.
+    if (it.Draining && it.StartedMs != 0)
+      DrainingRuns[it.Id] = {it.StartedMs, now};
+  }
+}
+
 bool ServerDirectory::confirm(base::BootTime confirmedAt, base::BootTime now) {
   if (confirmedAt <= ConfirmedAt)
     return false;
--- a/baobabpin/control/ServerDirectory.h
+++ b/baobabpin/control/ServerDirectory.h
@@ -4,6 +4,10 @@
 /// stays in the directory for RemovalDelay after the first snapshot without it.
 /// During this time it counts as leaving.
 ///
+/// A server that has begun to drain never serves again in the same run. If the
+/// store is restored from an older copy, it may show the server as ready; the
+/// directory then keeps it as draining.
+///
 /// \code
 ///   if (directory.adopt(registrations, sentAt, now))
 ///     refreshPools();
@@ -25,6 +29,10 @@
 /// restores expired entries within two seconds of an outage.
 inline constexpr std::chrono::milliseconds RemovalDelay{2500};
 
+/// The time for which a draining run of a server is remembered. It is longer
+/// than the age of the copies from which the store is restored.
+inline constexpr std::chrono::minutes DrainMemory{5};
+
 class ServerDirectory {
 public:
   explicit ServerDirectory(kernel::LineLog &log);
@@ -53,6 +61,15 @@
   base::BootTime confirmedAt() const { return ConfirmedAt; }
 
 private:
+  /// A run of a server that was seen to be draining.
+  struct DrainingRun {
+    std::int64_t StartedMs = 0;
+    base::BootTime LastSeen{};
+  };
+
+  /// Marks the servers as draining whose run was seen to be draining before.
+  void restoreDraining(std::vector<cluster::ServerRegistration> &registrations,
+                       base::BootTime now);
   /// Updates Servers from Registrations. Returns whether Servers has changed.
   bool updateServers(base::BootTime now);
 
@@ -62,6 +79,7 @@
   base::BootTime ConfirmedAt{};
   std::map<base::ServerId, cluster::ServerRegistration> Servers;
   std::map<base::ServerId, base::BootTime> LeavingSince;
+  std::map<base::ServerId, DrainingRun> DrainingRuns;
 };
 
 } // namespace baobabpin::control
--- a/baobabpin/control/ServerDirectoryTest.cpp
+++ b/baobabpin/control/ServerDirectoryTest.cpp
@@ -57,6 +57,39 @@
   }
 }
 
+TEST_CASE("a server that drains does not become ready in an older copy") {
+  // Guards against new work for a server that is leaving, after the store was
+  // restored to a time at which the server was ready.
+  DirectoryFixture fixture;
+  auto draining = makeServer("s2");
+  draining.Draining = true;
+  draining.StartedMs = 7;
+  auto ready = draining;
+  ready.Draining = false;
+  fixture.adopt({makeServer("s1"), draining}, 100ms);
+  auto isLeaving = [&] {
+    return fixture.Directory.leavingSince("s2").has_value();
+  };
+
+  SUBCASE("while it drains") {
+    fixture.adopt({makeServer("s1"), ready}, 200ms);
+    CHECK(isLeaving());
+    CHECK(fixture.Directory.registrations().back().Draining);
+  }
+  SUBCASE("after its registration has gone") {
+    fixture.adopt({makeServer("s1")}, 200ms);
+    fixture.adopt({makeServer("s1")}, 300ms + RemovalDelay);
+    REQUIRE_FALSE(fixture.Directory.servers().contains("s2"));
+    fixture.adopt({makeServer("s1"), ready}, 400ms + RemovalDelay);
+    CHECK(isLeaving());
+  }
+  SUBCASE("but the next run under the same Id is ready") {
+    ready.StartedMs = 8;
+    fixture.adopt({makeServer("s1"), ready}, 200ms);
+    CHECK_FALSE(isLeaving());
+  }
+}
+
 TEST_CASE("a draining server is leaving but is not removed") {
   DirectoryFixture fixture;
   auto draining = makeServer("s2");
