Order the shared records by the era of the store

Cause: a node orders what it knows by the store's revision. After the store came back from an older copy, the node kept records with revisions that the store did not have, and used them as the condition of its changes. Fencing tokens were given out again, too. Change: a view carries its era, and one of a later era replaces one with a higher revision; what a node knows of a lost record stays as a hint with the revision of the new era. Epochs and fencing tokens of an era begin above all earlier ones. A node that has heard of a later era confirms no view of an earlier one, a failover of an earlier era ends, and failovers wait for nodes whose registration was lost.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace baobabpin::cluster {
 namespace {
@@ -118,12 +119,43 @@
   return records;
 }
 
+/// Whether \p it says more than \p other, a record of the same group. The
+/// announcement of a failover keeps the epoch.
+bool isLater(const GroupRecord &it, const GroupRecord &other) {
+  return std::tuple(it.Epoch, it.FailoverInProgress, it.Token) >
+         std::tuple(other.Epoch, other.FailoverInProgress, other.Token);
+}
+
+bool isLater(const DutyRecord &it, const DutyRecord &other) {
+  return it.Token > other.Token;
+}
+
+/// Adopts \p other if its revision is newer, or if it holds what is known of a
+/// lost record with the same revision.
 template <typename T>
 bool keepNewer(Versioned<T> &record, const Versioned<T> &other) {
-  if (other.Revision <= record.Revision)
-    return false;
-  record = other;
-  return true;
+  bool newer =
+      other.Revision > record.Revision ||
+      (other.Revision == record.Revision && isLater(other.Value, record.Value));
+  if (newer)
+    record = other;
+  return newer;
+}
+
+/// Keeps the contents of \p lost, a record of an earlier era, if they are later
+/// than those that the store has now.
+template <typename T>
+void keepLost(Versioned<T> &record, const Versioned<T> &lost) {
+  if (isLater(lost.Value, record.Value))
+    record.Value = lost.Value;
+}
+
+/// Replaces \p view by \p other, a view of a later era.
+void enterEra(ClusterView &view, ClusterView other) {
+  std::swap(view, other);
+  keepLost(view.Duty, other.Duty);
+  for (const auto &[group, it] : other.Groups)
+    keepLost(view.Groups[group], it);
 }
 
 /// Adopts the records of groups and of the promotion duty that \p other has in
@@ -136,7 +168,8 @@
 }
 
 json contentsOf(const ClusterView &view) {
-  return {{"groups", recordsToJson(view.Groups)},
+  return {{"era", view.Era},
+          {"groups", recordsToJson(view.Groups)},
           {"nodes", recordsToJson(view.Nodes)},
           {"duty", toJson(view.Duty.Value)},
           {"duty_revision", view.Duty.Revision}};
@@ -160,6 +193,14 @@
   }
 }
 
+base::StorePosition positionOf(const ClusterView &view) {
+  return {view.Era, view.Revision};
+}
+
+std::uint64_t nextToken(std::uint64_t last, std::uint64_t era) {
+  return std::max(last, firstNumberOf(era)) + 1;
+}
+
 std::size_t confirmQuorum(std::size_t registered) { return registered / 2 + 1; }
 
 std::size_t revocationQuorum(std::size_t registered, std::size_t recent) {
@@ -195,6 +236,7 @@
     view.Nodes = recordsFrom<NodeRecord>(object.at("nodes"), nodeFrom);
     view.Duty = {dutyFrom(object.at("duty")),
                  object.at("duty_revision").get<std::uint64_t>()};
+    view.Era = object.at("era").get<std::uint64_t>();
     view.Revision = object.at("revision").get<std::uint64_t>();
   } catch (const json::exception &) {
     return {};
@@ -203,7 +245,11 @@
 }
 
 bool mergeView(ClusterView &view, ClusterView other) {
-  if (other.Revision < view.Revision)
+  if (other.Era > view.Era) {
+    enterEra(view, std::move(other));
+    return true;
+  }
+  if (positionOf(other) < positionOf(view))
     return false;
   auto confirmed = std::max(view.ConfirmedAt, other.ConfirmedAt);
   auto storeConfirmed = std::max(view.StoreConfirmedAt, other.StoreConfirmedAt);
@@ -219,6 +265,7 @@
 std::string encodeGroupChange(const ClusterView &view,
                               const base::GroupName &group) {
   ClusterView part;
+  part.Era = view.Era;
   if (auto it = view.Groups.find(group); it != view.Groups.end())
     part.Groups.insert(*it);
   part.Duty = view.Duty;
@@ -226,7 +273,8 @@
 }
 
 bool applyGroupChange(ClusterView &view, const std::string &text) {
-  return keepNewerRecords(view, decodeView(text));
+  ClusterView change = decodeView(text);
+  return change.Era == view.Era && keepNewerRecords(view, change);
 }
 
 std::string formatIdentity(const NodeIdentity &it) {
--- a/baobabpin/cluster/ClusterView.h
+++ b/baobabpin/cluster/ClusterView.h
@@ -20,8 +20,15 @@
 ///
 /// Hence no node uses the old primary when the new one begins to commit, no
 /// matter whether the node is reachable, suspended or partitioned.
+///
+/// The store may be restored from an older copy (base/StorePosition.h). Views
+/// are ordered by era first. What a node knows of the lost records is kept as a
+/// hint, and conditional changes use the revisions of the new era. Epochs and
+/// fencing tokens begin at firstNumberOf(era), so that they never repeat those
+/// of lost records.
 #pragma once
 
+#include "baobabpin/base/StorePosition.h"
 #include "baobabpin/cluster/Types.h"
 #include "baobabpin/store/StoreClient.h"
 
@@ -59,6 +66,8 @@
 
 /// The shared records as of one revision of the store.
 struct ClusterView {
+  /// The era of the store that this view reflects.
+  std::uint64_t Era = 0;
   /// The store's revision that this view reflects. It is 0 when nothing is
   /// known.
   std::uint64_t Revision = 0;
@@ -73,6 +82,22 @@
   Versioned<DutyRecord> Duty;
 };
 
+/// Returns the position in the store's history that the view reflects.
+base::StorePosition positionOf(const ClusterView &view);
+
+/// The number of epochs and of fencing tokens of one era. No group has as many
+/// failovers.
+inline constexpr std::uint64_t NumbersPerEra = 1'000'000'000;
+
+/// Returns a number that is greater than all epochs and fencing tokens of
+/// earlier eras, and not greater than those of \p era.
+constexpr std::uint64_t firstNumberOf(std::uint64_t era) {
+  return era * NumbersPerEra;
+}
+
+/// Returns the fencing token that follows \p last in \p era.
+std::uint64_t nextToken(std::uint64_t last, std::uint64_t era);
+
 /// Returns the number of nodes, this one included, that can confirm a view
 /// without the store when \p registered nodes are registered.
 std::size_t confirmQuorum(std::size_t registered);
@@ -108,8 +133,11 @@
 
 /// Adopts \p other unless it is older than \p view, and keeps the later of both
 /// confirmation times. Records of groups and of the promotion duty that \p view
-/// has in a newer revision are kept (see applyGroupChange). Returns whether the
-/// records may have changed.
+/// has in a newer revision are kept (see applyGroupChange). If \p other is of a
+/// later era, its confirmation times replace those of \p view, and a record of
+/// \p view with a higher epoch or token replaces the contents, but not the
+/// revision, of the one in \p other. Returns whether the records may have
+/// changed.
 bool mergeView(ClusterView &view, ClusterView other);
 
 /// Encodes the records of one group and of the promotion duty as JSON. The
@@ -117,10 +145,10 @@
 /// bytes for any number of nodes.
 std::string encodeGroupChange(const ClusterView &view,
                               const base::GroupName &group);
-/// Adopts the records of \p text that are newer than those of \p view. The
-/// revision of the view does not change, because the text says nothing about
-/// the other records. Returns whether a record changed; a malformed text
-/// changes nothing.
+/// Adopts the records of \p text that are newer than those of \p view, if both
+/// are of the same era. The revision of the view does not change, because the
+/// text says nothing about the other records. Returns whether a record changed;
+/// a malformed text changes nothing.
 bool applyGroupChange(ClusterView &view, const std::string &text);
 
 /// One run of a node.
--- a/baobabpin/cluster/ClusterViewTest.cpp
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -134,6 +134,67 @@
   }
 }
 
+TEST_CASE("a view of a later era replaces one with a higher revision") {
+  // Guards against records that stay as they were, and conditional changes
+  // that always conflict, after the store was restored from an older copy.
+  ClusterView view = makeView({"n1", 11});
+  view.Duty = {{"n1", 8}, 5};
+  ClusterView restored;
+  restored.Era = 1;
+  restored.Revision = 3;
+  restored.ConfirmedAt = Start - 1s;
+  restored.Groups["g"] = {{.Epoch = 2, .Primary = "s0"}, 2};
+  restored.Duty = {{"n2", 4}, 1};
+  REQUIRE(mergeView(view, restored));
+  CHECK(positionOf(view) == base::StorePosition{1, 3});
+  CHECK(view.Nodes.empty());
+
+  SUBCASE("a lost record stays known, with the revision of the new era") {
+    CHECK(view.Groups["g"].Value.Primary == "s1");
+    CHECK(view.Groups["g"].Revision == 2);
+    CHECK(view.Duty.Value.Token == 8);
+    CHECK(view.Duty.Revision == 1);
+  }
+  SUBCASE("a lost record that the copy does not have is to be created") {
+    ClusterView empty;
+    empty.Era = 2;
+    empty.Revision = 1;
+    REQUIRE(mergeView(view, empty));
+    CHECK(view.Groups["g"].Value.Primary == "s1");
+    CHECK(view.Groups["g"].Revision == 0);
+  }
+  SUBCASE("the confirmation of the earlier era does not count any more") {
+    CHECK(view.ConfirmedAt == Start - 1s);
+  }
+  SUBCASE("a view and a change of the earlier era are ignored") {
+    ClusterView old = makeView({"n1", 11});
+    old.Revision = 90;
+    old.Groups["g"] = {{.Epoch = 9, .Primary = "s9"}, 90};
+    CHECK_FALSE(mergeView(view, old));
+    CHECK_FALSE(applyGroupChange(view, encodeGroupChange(old, "g")));
+  }
+  SUBCASE("the next read of the same records keeps what is known") {
+    restored.Revision = 4;
+    mergeView(view, restored);
+    CHECK(view.Groups["g"].Value.Primary == "s1");
+  }
+  SUBCASE("a record that is written in the new era replaces it") {
+    restored.Revision = 4;
+    restored.Groups["g"] = {{.Epoch = firstNumberOf(1), .Primary = "s2"}, 4};
+    mergeView(view, restored);
+    CHECK(view.Groups["g"].Value.Primary == "s2");
+  }
+}
+
+TEST_CASE("a fencing token of a later era is higher than all lost ones") {
+  CHECK(nextToken(0, 0) == 1);
+  CHECK(nextToken(7, 0) == 8);
+  // The store was restored to a copy with token 3, after token 7 was used.
+  CHECK(nextToken(3, 1) > 7);
+  CHECK(nextToken(nextToken(3, 1), 1) > nextToken(3, 1));
+  CHECK(nextToken(3, 2) > nextToken(firstNumberOf(1) + 5, 1));
+}
+
 TEST_CASE("each confirming quorum has a node that acknowledged a failover") {
   // Guards against a view that is confirmed without the store although a
   // failover has made it outdated. One of the confirming nodes must have
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -162,7 +162,8 @@
 }
 
 bool ClusterService::hasUncertainChange() const {
-  return ChangesPending > 0 || base::BootClock::now() < UncertainUntil;
+  return ChangesPending > 0 || isViewOfEarlierEra() ||
+         base::BootClock::now() < UncertainUntil;
 }
 
 std::chrono::nanoseconds ClusterService::viewAge() const {
@@ -224,21 +225,50 @@
     LastLarge = base::BootClock::now();
 }
 
-void ClusterService::noteEra(platform::StoreEra era, std::uint64_t revision) {
-  auto previous = std::exchange(Era, era);
-  if (era == previous)
+void ClusterService::noteEra(platform::StoreEra era, std::string_view source) {
+  if (era <= LatestEra)
     return;
   Log.line("store_era")
       .add("era", static_cast<std::int64_t>(era))
-      .add("previous", static_cast<std::int64_t>(previous))
-      .add("revision", static_cast<std::int64_t>(revision))
-      .add("known_revision", static_cast<std::int64_t>(View.Revision));
+      .add("previous", static_cast<std::int64_t>(LatestEra))
+      .add("known_revision", static_cast<std::int64_t>(View.Revision))
+      .add("source", source);
+  LatestEra = era;
+}
+
+void ClusterService::onEraEntered(const cluster::ClusterView &before) {
+  RegistrationRevision = 0;
+  if (before.Revision == 0)
+    return;
+  KnewEarlierEra = true;
+  FormerNodes.clear();
+  FormerNodesUntil = base::BootClock::now() + cluster::OfflineLimit +
+                     cluster::PrimaryLease + cluster::LeaseMargin;
+  for (const auto &[name, it] : before.Nodes) {
+    if (name != Self.Node && !View.Nodes.contains(name))
+      FormerNodes.push_back({name, it.Value.Peer});
+  }
+}
+
+std::vector<PeerNode> ClusterService::revocationPeers() const {
+  auto list = peers();
+  if (base::BootClock::now() > FormerNodesUntil)
+    return list;
+  for (const auto &it : FormerNodes) {
+    if (!View.Nodes.contains(it.Name))
+      list.push_back(it);
+  }
+  return list;
 }
 
 void ClusterService::onRecords(const platform::RangePage &page,
                                base::BootTime sentAt) {
-  noteEra(page.Era, page.Revision);
+  // A late reply from before the store was restored.
+  if (page.Era < LatestEra)
+    return;
+  noteEra(page.Era, "store");
   cluster::ClusterView fresh;
+  fresh.Era = page.Era;
   for (const auto &it : page.Entries) {
     if (!cluster::applyEntry(fresh, platform::ProxyPrefix, it))
       Log.line("record_unreadable").add("key", it.Key);
@@ -270,9 +300,11 @@
 void ClusterService::updateView(
     std::string_view source,
     const std::function<bool(cluster::ClusterView &)> &merge) {
-  auto before = View.Groups;
+  auto before = View;
   if (!merge(View))
     return;
+  if (View.Era != before.Era)
+    onEraEntered(before);
   auto digest = cluster::digestOf(View);
   if (std::exchange(ViewDigest, digest) == digest)
     return;
@@ -280,8 +312,8 @@
   if (!configuration())
     readStore(base::BootClock::now());
   for (const auto &[group, it] : View.Groups) {
-    auto old = before.find(group);
-    if (old != before.end() && old->second.Value == it.Value)
+    auto old = before.Groups.find(group);
+    if (old != before.Groups.end() && old->second.Value == it.Value)
       continue;
     Log.line("group_record")
         .add("group", group)
@@ -389,7 +421,8 @@
   // does not answer adds, is shorter than that.
   bool offline = now - View.StoreConfirmedAt >
                  (Plan.Large ? LargeFallbackAge : FallbackAge);
-  bool wide = offline || !configuration() || PositionsWanted;
+  bool wide =
+      offline || !configuration() || PositionsWanted || isViewOfEarlierEra();
   auto period = Plan.Large ? LargeSyncPeriod : SyncPeriod;
   if (!configuration())
     period = StartupSyncPeriod;
@@ -537,6 +570,7 @@
                                 const SyncReply &reply) {
   auto confirmed = round.SentAt - reply.ViewAge;
   auto storeConfirmed = round.SentAt - reply.StoreAge;
+  noteEra(reply.ViewPosition.Era, peer.Name);
   if (!reply.View.empty()) {
     auto view = cluster::decodeView(reply.View);
     view.ConfirmedAt = confirmed;
@@ -544,8 +578,9 @@
     round.RepliesCannotConfirm = true;
     adoptView(std::move(view), peer.Name);
     ensureRegistered();
-  } else if (reply.ViewRevision >= View.Revision) {
-    View.Revision = reply.ViewRevision;
+  } else if (reply.ViewPosition.Era == View.Era &&
+             reply.ViewPosition.Revision >= View.Revision) {
+    View.Revision = reply.ViewPosition.Revision;
     View.ConfirmedAt = std::max(View.ConfirmedAt, confirmed);
     View.StoreConfirmedAt = std::max(View.StoreConfirmedAt, storeConfirmed);
   }
@@ -574,14 +609,14 @@
 
 SyncRequest ClusterService::syncRequest() const {
   return {.Node = Self.Node,
-          .ViewRevision = View.Revision,
+          .ViewPosition = cluster::positionOf(View),
           .ViewDigest = ViewDigest,
           .ServersDigest = Directory.digest()};
 }
 
 std::string ClusterService::pingBody() const {
   auto request = syncRequest();
-  request.ViewRevision = ~std::uint64_t{0};
+  request.ViewPosition.Revision = ~std::uint64_t{0};
   return encode(request);
 }
 
@@ -619,10 +654,12 @@
                             const http::ResponderPtr &responder) {
   // A pushed record carries no confirmation time, so it does not extend the
   // lease.
+  noteEra(request.ViewPosition.Era, request.Node);
   adoptChange(request.Change, request.Node);
   SyncReply reply;
-  reply.ViewRevision = View.Revision;
-  if (View.Revision >= request.ViewRevision && ViewDigest != request.ViewDigest)
+  reply.ViewPosition = cluster::positionOf(View);
+  if (reply.ViewPosition >= request.ViewPosition &&
+      ViewDigest != request.ViewDigest)
     reply.View = cluster::encodeView(View);
   auto now = base::BootClock::now();
   auto age = [now](base::BootTime since) {
@@ -646,6 +683,7 @@
 
 void ClusterService::onRevoke(const RevokeRequest &request,
                               const http::ResponderPtr &responder) {
+  noteEra(request.Era, "revoke");
   revoke(request.Group, request.Epoch);
   adoptChange(request.Change, "revoke");
   Hooks.DrainPrimary(request.Group,
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -97,6 +97,12 @@
   bool isStoreReachable() const;
   /// Returns the registered nodes other than this one.
   std::vector<PeerNode> peers() const;
+  /// Returns the nodes that a failover must wait for: the registered ones, and
+  /// those whose registration was lost when the store was restored.
+  std::vector<PeerNode> revocationPeers() const;
+  /// Returns whether this process had a view of an earlier era. Otherwise it
+  /// does not know what was lost when the store was restored.
+  bool knewEarlierEra() const { return KnewEarlierEra; }
   /// Returns the nodes that monitor the primaries, other than this one.
   std::vector<PeerNode> monitors() const;
   /// Returns whether this node monitors the primaries: the plan makes it a
@@ -147,8 +153,13 @@
   void onRecords(const platform::RangePage &page, base::BootTime sentAt);
   void onServerEntries(const std::vector<store::StoreEntry> &entries,
                        base::BootTime sentAt);
-  /// Logs that the store was restored from an older copy.
-  void noteEra(platform::StoreEra era, std::uint64_t revision);
+  /// Notes the era that the store or a peer has reported. This node confirms no
+  /// view of an earlier era from then on.
+  void noteEra(platform::StoreEra era, std::string_view source);
+  /// Returns whether the view is of an earlier era than the latest known one.
+  bool isViewOfEarlierEra() const { return View.Era < LatestEra; }
+  /// Keeps what \p before, a view of an earlier era, says about the nodes.
+  void onEraEntered(const cluster::ClusterView &before);
   void adoptView(cluster::ClusterView view, std::string_view source);
   /// Writes the registration of this node unless the view contains it.
   void ensureRegistered();
@@ -217,8 +228,13 @@
   std::vector<std::function<void()>> Listeners;
   cluster::ClusterView View;
   std::uint64_t ViewDigest = 0;
-  /// The last era that the store has reported.
-  platform::StoreEra Era = 0;
+  /// The latest era that the store or a peer has reported.
+  platform::StoreEra LatestEra = 0;
+  bool KnewEarlierEra = false;
+  /// The nodes that were registered before the store was restored, and not
+  /// after it. They may use primaries until FormerNodesUntil.
+  std::vector<PeerNode> FormerNodes;
+  base::BootTime FormerNodesUntil{};
   cluster::FleetPlan Plan;
   /// The last reply from one of Plan.SyncSources.
   base::BootTime SourceRepliedAt{};
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -52,6 +52,8 @@
 struct FailoverService::Failover {
   base::GroupName Group;
   cluster::GroupRecord Record;
+  /// The era of the store in which the failover was announced.
+  std::uint64_t Era = 0;
   /// The old primary was reachable at the start.
   bool PrimaryWasReachable = false;
   base::BootTime StartedAt{};
@@ -187,7 +189,9 @@
         server.Role != sql::ServerRole::Primary)
       continue;
     WritePending = true;
-    cluster::GroupRecord record{.Epoch = 1, .Primary = id};
+    cluster::GroupRecord record{
+        .Epoch = cluster::firstNumberOf(Cluster->view().Era) + 1,
+        .Primary = id};
     Cluster->change(
         {{groupKey(group), cluster::encodeRecord(record), 0, false}},
         [this](const store::StoreReply &) { WritePending = false; });
@@ -286,7 +290,9 @@
   if (WritePending)
     return;
   const auto &duty = Cluster->view().Duty;
-  cluster::DutyRecord newDuty{Cluster->self().Node, duty.Value.Token + 1};
+  cluster::DutyRecord newDuty{
+      Cluster->self().Node,
+      cluster::nextToken(duty.Value.Token, Cluster->view().Era)};
   std::vector<platform::KeyChange> changes{
       {dutyKey(), cluster::encodeRecord(newDuty), duty.Revision, false}};
   std::string names;
@@ -319,6 +325,7 @@
 bool FailoverService::isCurrent(const FailoverPtr &failover) const {
   auto it = Cluster->view().Groups.find(failover->Group);
   return it != Cluster->view().Groups.end() &&
+         Cluster->view().Era == failover->Era &&
          it->second.Value == failover->Record;
 }
 
@@ -353,6 +360,7 @@
   auto failover = std::make_shared<Failover>();
   failover->Group = group;
   failover->Record = Cluster->view().Groups.at(group).Value;
+  failover->Era = Cluster->view().Era;
   failover->StartedAt = base::BootClock::now();
   failover->PrimaryWasReachable = !Access.Observe(group).Unreachable;
   Failovers[group] = failover;
@@ -364,7 +372,7 @@
                                 if (FailoverPtr it = weak.lock())
                                   it->Unacknowledged.erase(self);
                               });
-  for (const auto &peer : Cluster->peers()) {
+  for (const auto &peer : Cluster->revocationPeers()) {
     failover->Unacknowledged.insert(peer.Name);
     revokePeer(failover, peer);
   }
@@ -382,7 +390,7 @@
 void FailoverService::revokePeer(const FailoverPtr &failover,
                                  const PeerNode &peer) {
   std::string body = encode(RevokeRequest{
-      failover->Group, failover->Record.Epoch,
+      failover->Group, failover->Record.Epoch, failover->Era,
       cluster::encodeGroupChange(Cluster->view(), failover->Group)});
   Cluster->caller().call(peer.Endpoint, RevokePath, body, RevokeTimeout,
                          [this, weak = std::weak_ptr<Failover>(failover),
@@ -421,7 +429,7 @@
   // the registration itself, or another node did so after its view could no
   // longer be confirmed.
   std::set<std::string> registered{Cluster->self().Node};
-  for (const auto &it : Cluster->peers())
+  for (const auto &it : Cluster->revocationPeers())
     registered.insert(it.Name);
   std::erase_if(failover->Unacknowledged, [&](const std::string &it) {
     return !registered.contains(it);
--- a/baobabpin/control/MalformedMessagesTest.cpp
+++ b/baobabpin/control/MalformedMessagesTest.cpp
@@ -98,7 +98,7 @@
   return {
       encode(SyncRequest{.Node = "n1"}),
       encode(reply),
-      encode(RevokeRequest{"g", 3, cluster::encodeGroupChange(view, "g")}),
+      encode(RevokeRequest{"g", 3, 1, cluster::encodeGroupChange(view, "g")}),
       encode(EvidenceReply{true, {{"g", {5ms, false}}}}),
       encode(EvidenceRequest{{{"g", true}}}),
       cluster::encodeView(view),
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -63,6 +63,11 @@
           it.at("started_ms").get<std::int64_t>()};
 }
 
+base::StorePosition viewPositionFrom(const json &it) {
+  return {it.at("view_era").get<std::uint64_t>(),
+          it.at("view_revision").get<std::uint64_t>()};
+}
+
 PositionReport positionFrom(const json &it) {
   return {it.at("epoch").get<std::uint64_t>(),
           {it.at("term").get<base::TermNumber>(),
@@ -74,7 +79,8 @@
 
 std::string encode(const SyncRequest &it) {
   return json{{"node", it.Node},
-              {"view_revision", it.ViewRevision},
+              {"view_era", it.ViewPosition.Era},
+              {"view_revision", it.ViewPosition.Revision},
               {"view_digest", it.ViewDigest},
               {"servers_digest", it.ServersDigest},
               {"change", it.Change}}
@@ -86,7 +92,8 @@
   for (const auto &[group, report] : it.Positions)
     positions[group] = toJson(report);
   json body{{"view", it.View},
-            {"view_revision", it.ViewRevision},
+            {"view_era", it.ViewPosition.Era},
+            {"view_revision", it.ViewPosition.Revision},
             {"view_age_ms", it.ViewAge.count()},
             {"store_age_ms", it.StoreAge.count()},
             {"config_version", it.ConfigVersion},
@@ -103,7 +110,10 @@
 }
 
 std::string encode(const RevokeRequest &it) {
-  return json{{"group", it.Group}, {"epoch", it.Epoch}, {"change", it.Change}}
+  return json{{"group", it.Group},
+              {"epoch", it.Epoch},
+              {"era", it.Era},
+              {"change", it.Change}}
       .dump();
 }
 
@@ -131,8 +141,7 @@
 
 std::optional<SyncRequest> decodeSyncRequest(const std::string &text) {
   return decode(text, [](const json &it) {
-    return SyncRequest{it.at("node").get<std::string>(),
-                       it.at("view_revision").get<std::uint64_t>(),
+    return SyncRequest{it.at("node").get<std::string>(), viewPositionFrom(it),
                        it.at("view_digest").get<std::uint64_t>(),
                        it.at("servers_digest").get<std::uint64_t>(),
                        it.at("change").get<std::string>()};
@@ -143,7 +152,7 @@
   return decode(text, [](const json &it) {
     SyncReply reply;
     reply.View = it.at("view").get<std::string>();
-    reply.ViewRevision = it.at("view_revision").get<std::uint64_t>();
+    reply.ViewPosition = viewPositionFrom(it);
     reply.ViewAge = parseAge(it.at("view_age_ms"));
     reply.StoreAge = parseAge(it.at("store_age_ms"));
     reply.ConfigVersion = it.at("config_version").get<std::uint64_t>();
@@ -163,9 +172,9 @@
 
 std::optional<RevokeRequest> decodeRevokeRequest(const std::string &text) {
   return decode(text, [](const json &it) {
-    return RevokeRequest{it.at("group").get<std::string>(),
-                         it.at("epoch").get<std::uint64_t>(),
-                         it.at("change").get<std::string>()};
+    return RevokeRequest{
+        it.at("group").get<std::string>(), it.at("epoch").get<std::uint64_t>(),
+        it.at("era").get<std::uint64_t>(), it.at("change").get<std::string>()};
   });
 }
 
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -25,7 +25,8 @@
 /// Asks for everything that is newer than what the caller knows.
 struct SyncRequest {
   std::string Node;
-  std::uint64_t ViewRevision = 0;
+  /// The position of the caller's view in the store's history.
+  base::StorePosition ViewPosition;
   std::uint64_t ViewDigest = 0;
   std::uint64_t ServersDigest = 0;
   /// Records that the caller has just changed (cluster::encodeGroupChange), or
@@ -45,7 +46,7 @@
   /// The peer's view (cluster::encodeView) if it is not older than the caller's
   /// and has other records, or empty.
   std::string View;
-  std::uint64_t ViewRevision = 0;
+  base::StorePosition ViewPosition;
   /// The time since the view was confirmed, and since the store confirmed it.
   std::chrono::milliseconds ViewAge{0};
   std::chrono::milliseconds StoreAge{0};
@@ -66,6 +67,8 @@
 struct RevokeRequest {
   base::GroupName Group;
   std::uint64_t Epoch = 0;
+  /// The era of the store in which the failover was announced.
+  std::uint64_t Era = 0;
   /// The record that announces the failover (cluster::encodeGroupChange).
   std::string Change;
 };
