Verify each group's primary after the store was restored

Cause: the record of a group says who its primary is, and a node that starts believes the store. After a restore the record may be older than the last failover, and after a loss of power no node remembers a later one. Change: a record of an earlier era is not used until it is verified. If a quorum of the nodes that were registered before the restore knows of nothing later, it is written again at once (RecordVerifier). Otherwise all nodes stop using the primary, as for a failover, and the servers are asked: the one that leads the newest term is recorded if all of them agree, and a failover follows if not. A failover of an earlier era gets no more acknowledgements.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -197,6 +197,16 @@
   return {view.Era, view.Revision};
 }
 
+bool isLatestRecord(const GroupRecord &record,
+                    const std::vector<KnownRecord> &others,
+                    std::size_t quorum) {
+  if (record.FailoverInProgress || others.size() + 1 < quorum)
+    return false;
+  return std::ranges::none_of(others, [&](const KnownRecord &it) {
+    return it.FailoverInProgress || it.Epoch > record.Epoch;
+  });
+}
+
 std::uint64_t nextToken(std::uint64_t last, std::uint64_t era) {
   return std::max(last, firstNumberOf(era)) + 1;
 }
@@ -289,6 +299,8 @@
     return "unknown_group";
   case PrimaryUse::FailoverInProgress:
     return "moving";
+  case PrimaryUse::Unverified:
+    return "unverified";
   case PrimaryUse::LeaseExpired:
     return "lease_expired";
   case PrimaryUse::Unregistered:
@@ -336,6 +348,8 @@
       node->second.Value.Incarnation != self.Incarnation)
     return PrimaryUse::Unregistered;
   const GroupRecord &record = it->second.Value;
+  if (!isVerified(record, view.Era))
+    return PrimaryUse::Unverified;
   if (record.FailoverInProgress || record.Epoch <= revokedEpoch)
     return PrimaryUse::FailoverInProgress;
   return PrimaryUse::Allowed;
--- a/baobabpin/cluster/ClusterView.h
+++ b/baobabpin/cluster/ClusterView.h
@@ -26,6 +26,16 @@
 /// hint, and conditional changes use the revisions of the new era. Epochs and
 /// fencing tokens begin at firstNumberOf(era), so that they never repeat those
 /// of lost records.
+///
+/// A record of an earlier era may be an older one than the last, so its primary
+/// may have been replaced. It is used again only after a coordinator has
+/// verified it (isVerified()) in one of two ways:
+///
+///   - confirmQuorum() nodes that had a view before the restore know of no
+///   later
+///     record and of no failover. One of them would have acknowledged it.
+///   - The coordinator has made all nodes stop using the primary, as for a
+///     failover, and all servers of the group agree which one leads.
 #pragma once
 
 #include "baobabpin/base/StorePosition.h"
@@ -35,6 +45,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace baobabpin::cluster {
 
@@ -95,6 +106,31 @@
   return era * NumbersPerEra;
 }
 
+/// Returns whether the record was written in \p era, or checked against the
+/// group's servers since that era began.
+constexpr bool isVerified(const GroupRecord &record, std::uint64_t era) {
+  return record.Epoch > firstNumberOf(era);
+}
+
+/// What a node knows of a group's latest record.
+struct KnownRecord {
+  std::uint64_t Epoch = 0;
+  bool FailoverInProgress = false;
+};
+
+/// Returns whether \p record is the last one of the earlier era and its primary
+/// may be used, according to the nodes that were registered before the store
+/// was restored. \p others is what they know, without this node, and \p quorum
+/// the confirmQuorum() of all nodes that may have been registered.
+bool isLatestRecord(const GroupRecord &record,
+                    const std::vector<KnownRecord> &others, std::size_t quorum);
+
+/// Returns whether the record announces that the group's primary is being
+/// verified, which runs like a failover.
+constexpr bool isBeingVerified(const GroupRecord &record, std::uint64_t era) {
+  return record.FailoverInProgress && record.Epoch == firstNumberOf(era);
+}
+
 /// Returns the fencing token that follows \p last in \p era.
 std::uint64_t nextToken(std::uint64_t last, std::uint64_t era);
 
@@ -165,6 +201,8 @@
   Allowed,
   UnknownGroup,       ///< The group has no record yet.
   FailoverInProgress, ///< The primary is being replaced.
+  Unverified,         ///< The store was restored, and nobody has verified since
+                      ///< then that the primary still leads.
   LeaseExpired,       ///< The last confirmation of the view is too old.
   Unregistered,       ///< This run of the node has no valid registration, so a
                       ///< coordinator would not wait for it.
--- a/baobabpin/cluster/ClusterViewTest.cpp
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -50,6 +50,18 @@
     view.Groups["g"].Value.FailoverInProgress = true;
     CHECK(use(0, 0ms) == PrimaryUse::FailoverInProgress);
   }
+  SUBCASE("a record from before the store was restored is not used") {
+    view.Era = 1;
+    CHECK(use(0, 0ms) == PrimaryUse::Unverified);
+    GroupRecord &record = view.Groups["g"].Value;
+    record.Epoch = firstNumberOf(1);
+    record.FailoverInProgress = true;
+    CHECK(isBeingVerified(record, 1));
+    CHECK(use(0, 0ms) == PrimaryUse::Unverified);
+    ++record.Epoch;
+    record.FailoverInProgress = false;
+    CHECK(use(firstNumberOf(1), 0ms) == PrimaryUse::Allowed);
+  }
   SUBCASE("a node without a valid registration is refused") {
     view.Nodes["n1"].Value.Retired = true;
     CHECK(use(0, 0ms) == PrimaryUse::Unregistered);
@@ -186,6 +198,26 @@
   }
 }
 
+TEST_CASE("a quorum that knew the earlier era verifies a record") {
+  GroupRecord record{.Epoch = 3, .Primary = "s1"};
+  std::vector<KnownRecord> others{{3, false}, {2, false}};
+  CHECK(isLatestRecord(record, others, 3));
+  SUBCASE("fewer nodes may all have missed a failover") {
+    CHECK_FALSE(isLatestRecord(record, others, 4));
+  }
+  SUBCASE("one node that knows of a later failover is enough to doubt it") {
+    others.push_back({4, false});
+    CHECK_FALSE(isLatestRecord(record, others, 3));
+  }
+  SUBCASE("a failover that is in progress may still complete") {
+    others.push_back({3, true});
+    CHECK_FALSE(isLatestRecord(record, others, 3));
+    others.pop_back();
+    record.FailoverInProgress = true;
+    CHECK_FALSE(isLatestRecord(record, others, 3));
+  }
+}
+
 TEST_CASE("a fencing token of a later era is higher than all lost ones") {
   CHECK(nextToken(0, 0) == 1);
   CHECK(nextToken(7, 0) == 8);
--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -98,6 +98,24 @@
   return best == candidates.end() ? std::nullopt : std::optional(*best);
 }
 
+std::optional<Candidate> findLeader(const std::vector<Candidate> &replies,
+                                    std::size_t asked,
+                                    base::TermNumber knownTerm) {
+  if (replies.empty() || replies.size() < asked)
+    return std::nullopt;
+  auto newestTerm = knownTerm;
+  for (const auto &it : replies)
+    newestTerm =
+        std::max({newestTerm, it.Status.Term, it.Status.Received.Term});
+  auto leads = [newestTerm](const Candidate &it) {
+    return it.Status.Role == sql::ServerRole::Primary &&
+           it.Status.Term == newestTerm;
+  };
+  auto leader = std::ranges::find_if(replies, leads);
+  bool single = std::ranges::count_if(replies, leads) == 1;
+  return single ? std::optional(*leader) : std::nullopt;
+}
+
 bool isLeading(const sql::ServerStatus &status, base::TermNumber recordTerm,
                bool isCurrentPrimary) {
   if (status.Role != sql::ServerRole::Primary)
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -118,6 +118,15 @@
                                        base::TermNumber recordTerm,
                                        base::LogPosition recordStart);
 
+/// Returns the server that leads the group according to the status of its
+/// servers. Returns nothing unless that is certain: all \p asked servers have
+/// replied, one of them leads, and no server knows a later term than it, nor a
+/// term before \p knownTerm. A server that missed a promotion still reports to
+/// be the primary of its term.
+std::optional<Candidate> findLeader(const std::vector<Candidate> &replies,
+                                    std::size_t asked,
+                                    base::TermNumber knownTerm);
+
 /// Returns whether the promoted server leads already, given its reported
 /// status. A server that missed an earlier promotion reports to be the primary
 /// of an old term until the new term begins. \p recordTerm is the term of the
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -162,5 +162,35 @@
   CHECK(isLeading({sql::ServerRole::Primary, 6, {6, 1}}, 6, true));
 }
 
+TEST_CASE("the leader of a group is found only when no server can contradict") {
+  auto server = [](const char *id, sql::ServerRole role, base::TermNumber term,
+                   base::LogPosition received) {
+    Candidate it;
+    it.Server = id;
+    it.Status.Role = role;
+    it.Status.Term = term;
+    it.Status.Received = received;
+    return it;
+  };
+  using enum sql::ServerRole;
+  Candidate stale = server("s1", Primary, 1, {1, 90});
+  Candidate leader = server("s2", Primary, 2, {2, 80});
+  Candidate replica = server("s3", Replica, 2, {2, 80});
+
+  CHECK(findLeader({stale, leader, replica}, 3, 0)->Server == "s2");
+  SUBCASE("an old primary does not lead because another one is unreachable") {
+    CHECK_FALSE(findLeader({stale, replica}, 3, 0));
+    CHECK_FALSE(findLeader({stale, replica}, 2, 0));
+  }
+  SUBCASE("a term that is known from elsewhere contradicts an old primary") {
+    CHECK_FALSE(findLeader({stale}, 1, 2));
+    CHECK(findLeader({stale}, 1, 1));
+  }
+  SUBCASE("a group without a primary has no leader") {
+    CHECK_FALSE(findLeader({replica}, 1, 0));
+    CHECK_FALSE(findLeader({}, 0, 0));
+  }
+}
+
 } // namespace
 } // namespace baobabpin::cluster
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -50,6 +50,7 @@
 /// in addition to its sync sources.
 constexpr std::size_t SampledMonitors = 3;
 constexpr int HttpBadRequest = 400;
+constexpr int HttpConflict = 409;
 
 } // namespace
 
@@ -240,7 +241,8 @@
   RegistrationRevision = 0;
   if (before.Revision == 0)
     return;
-  KnewEarlierEra = true;
+  if (isRegisteredIn(before))
+    KnewEarlierEra = true;
   FormerNodes.clear();
   FormerNodesUntil = base::BootClock::now() + cluster::OfflineLimit +
                      cluster::PrimaryLease + cluster::LeaseMargin;
@@ -250,9 +252,13 @@
   }
 }
 
+bool ClusterService::mayHaveFormerNodes() const {
+  return base::BootClock::now() < FormerNodesUntil;
+}
+
 std::vector<PeerNode> ClusterService::revocationPeers() const {
   auto list = peers();
-  if (base::BootClock::now() > FormerNodesUntil)
+  if (!mayHaveFormerNodes())
     return list;
   for (const auto &it : FormerNodes) {
     if (!View.Nodes.contains(it.Name))
@@ -340,9 +346,11 @@
     notify();
 }
 
-bool ClusterService::isRegistered() const {
-  auto it = View.Nodes.find(Self.Node);
-  return it != View.Nodes.end() && !it->second.Value.Retired &&
+bool ClusterService::isRegistered() const { return isRegisteredIn(View); }
+
+bool ClusterService::isRegisteredIn(const cluster::ClusterView &view) const {
+  auto it = view.Nodes.find(Self.Node);
+  return it != view.Nodes.end() && !it->second.Value.Retired &&
          it->second.Value.Incarnation == Self.Incarnation;
 }
 
@@ -632,6 +640,7 @@
   serve(SyncPath, decodeSyncRequest, &ClusterService::onSync);
   serve(RevokePath, decodeRevokeRequest, &ClusterService::onRevoke);
   serve(EvidencePath, decodeEvidenceRequest, &ClusterService::onEvidence);
+  serve(RecordsPath, decodeRecordsRequest, &ClusterService::onRecordsRequest);
   Config->servePeers(*PeerServer);
 }
 
@@ -684,12 +693,28 @@
 void ClusterService::onRevoke(const RevokeRequest &request,
                               const http::ResponderPtr &responder) {
   noteEra(request.Era, "revoke");
+  // A failover that was announced before the store was restored must not go on:
+  // this node may have told another coordinator that it knows of none.
+  if (request.Era < LatestEra) {
+    responder->json(HttpConflict, "{}");
+    return;
+  }
   revoke(request.Group, request.Epoch);
   adoptChange(request.Change, "revoke");
   Hooks.DrainPrimary(request.Group,
                      [responder] { responder->json(200, "{}"); });
 }
 
+void ClusterService::onRecordsRequest(const RecordsRequest &request,
+                                      const http::ResponderPtr &responder) {
+  noteEra(request.Era, "records");
+  bool isOfEarlierEra = View.Era < request.Era && isRegistered();
+  RecordsReply reply{isOfEarlierEra || KnewEarlierEra, {}};
+  for (const auto &[group, it] : View.Groups)
+    reply.Groups[group] = {it.Value.Epoch, it.Value.FailoverInProgress};
+  responder->json(200, encode(reply));
+}
+
 void ClusterService::onEvidence(const EvidenceRequest &request,
                                 const http::ResponderPtr &responder) {
   EvidenceReply reply{.StoreReachable = isStoreReachable()};
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -100,9 +100,13 @@
   /// Returns the nodes that a failover must wait for: the registered ones, and
   /// those whose registration was lost when the store was restored.
   std::vector<PeerNode> revocationPeers() const;
-  /// Returns whether this process had a view of an earlier era. Otherwise it
-  /// does not know what was lost when the store was restored.
+  /// Returns whether this run of the node was registered in an earlier era.
+  /// Otherwise it may not know what it acknowledged before the store was
+  /// restored.
   bool knewEarlierEra() const { return KnewEarlierEra; }
+  /// Returns whether the store was restored so recently that nodes may still
+  /// use primaries as of the earlier era.
+  bool mayHaveFormerNodes() const;
   /// Returns the nodes that monitor the primaries, other than this one.
   std::vector<PeerNode> monitors() const;
   /// Returns whether this node monitors the primaries: the plan makes it a
@@ -150,6 +154,8 @@
                 const http::ResponderPtr &responder);
   void onEvidence(const EvidenceRequest &request,
                   const http::ResponderPtr &responder);
+  void onRecordsRequest(const RecordsRequest &request,
+                        const http::ResponderPtr &responder);
   void onRecords(const platform::RangePage &page, base::BootTime sentAt);
   void onServerEntries(const std::vector<store::StoreEntry> &entries,
                        base::BootTime sentAt);
@@ -164,6 +170,8 @@
   /// Writes the registration of this node unless the view contains it.
   void ensureRegistered();
   bool isRegistered() const;
+  /// Returns whether \p view has the registration of this run of the node.
+  bool isRegisteredIn(const cluster::ClusterView &view) const;
   /// Returns the lease that suits the size of the fleet.
   std::chrono::milliseconds wantedLease() const;
   /// Returns whether the record of this node in the store may differ from the
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -33,6 +33,11 @@
 /// The time for which a failover waits for the chosen replica to receive the
 /// whole log of the old primary, when the end of that log is known.
 constexpr milliseconds CatchUpLimit{400};
+/// A promotion takes effect within this time after the platform accepted it.
+constexpr milliseconds PromotionSettleTime{1000};
+/// The time for which a verification waits for all servers to agree which one
+/// leads. After it, a failover settles that.
+constexpr milliseconds VerificationLimit{600};
 /// The fencing token is used only if the view was confirmed within this node's
 /// lease less this margin, which covers the promotion call. A coordinator that
 /// takes over waits for this node's acknowledgement or for its lease before it
@@ -54,6 +59,8 @@
   cluster::GroupRecord Record;
   /// The era of the store in which the failover was announced.
   std::uint64_t Era = 0;
+  /// The primary is only verified, and replaced if its servers do not agree.
+  bool Verifying = false;
   /// The old primary was reachable at the start.
   bool PrimaryWasReachable = false;
   base::BootTime StartedAt{};
@@ -72,6 +79,7 @@
   std::optional<sql::ServerStatus> OldStatus;
   base::BootTime ChoosingSince{};
   std::vector<cluster::Candidate> Candidates;
+  std::size_t QueriesSent = 0;
   std::size_t QueriesOutstanding = 0;
   base::ServerId Target;
   /// The end of Target's log before its promotion.
@@ -102,6 +110,8 @@
   Kernel = &kernel;
   Cluster = &kernel.find<ClusterService>("cluster");
   StartedAt = base::BootClock::now();
+  Verifier = std::make_unique<RecordVerifier>(kernel.loop(), *Cluster, Log);
+  Verifier->OnDoubt = [this](const auto &group) { announce(group); };
   Promotions =
       std::make_unique<platform::Promotions>(kernel.loop(), PromotionsEndpoint);
   Ticker = kernel.loop().runEvery(TickPeriod, [this] { tick(); });
@@ -147,8 +157,9 @@
     return;
   }
   MissingSince.erase(group);
-  if (state.RecordRevision != it->second.Revision) {
-    state.RecordRevision = it->second.Revision;
+  base::StorePosition position{Cluster->view().Era, it->second.Revision};
+  if (state.RecordPosition != position) {
+    state.RecordPosition = position;
     state.RecordSeen = now;
   }
   const cluster::GroupRecord &record = it->second.Value;
@@ -160,6 +171,11 @@
     if (done)
       Cluster->pushGroup(group);
   }
+  if (!cluster::isVerified(record, position.Era) &&
+      !cluster::isBeingVerified(record, position.Era)) {
+    requestVerification(group);
+    return;
+  }
   if (record.FailoverInProgress &&
       record.Coordinator == cluster::formatIdentity(Cluster->self())) {
     startFailover(group);
@@ -184,19 +200,44 @@
 void FailoverService::createRecord(const base::GroupName &group) {
   if (WritePending)
     return;
+  std::vector<base::ServerId> primaries;
   for (const auto &[id, server] : Cluster->servers()) {
-    if (server.Group != group || server.Draining ||
-        server.Role != sql::ServerRole::Primary)
-      continue;
-    WritePending = true;
-    cluster::GroupRecord record{
-        .Epoch = cluster::firstNumberOf(Cluster->view().Era) + 1,
-        .Primary = id};
-    Cluster->change(
-        {{groupKey(group), cluster::encodeRecord(record), 0, false}},
-        [this](const store::StoreReply &) { WritePending = false; });
-    return;
+    if (server.Group == group && !server.Draining &&
+        server.Role == sql::ServerRole::Primary)
+      primaries.push_back(id);
   }
+  if (primaries.empty())
+    return;
+  // One of several may have missed a promotion whose record was lost, so the
+  // record is created as one that is to be verified.
+  auto epoch = cluster::firstNumberOf(Cluster->view().Era);
+  if (primaries.size() == 1)
+    ++epoch;
+  WritePending = true;
+  cluster::GroupRecord record{.Epoch = epoch, .Primary = primaries.front()};
+  Cluster->change({{groupKey(group), cluster::encodeRecord(record), 0, false}},
+                  [this](const store::StoreReply &) { WritePending = false; });
+}
+
+void FailoverService::requestVerification(const base::GroupName &group) {
+  const auto &record = Cluster->view().Groups.at(group).Value;
+  GroupCheckState &state = Checks[group];
+  bool isTurn = Cluster->isFirstMonitor() ||
+                base::BootClock::now() - state.RecordSeen > RecordCreationDelay;
+  if (!Cluster->isStoreReachable() || !isTurn || WritePending ||
+      Verifier->isBusy())
+    return;
+  state.InterruptedFailover = record.FailoverInProgress;
+  if (Cluster->knewEarlierEra())
+    Verifier->add(group);
+  else
+    announce(group);
+}
+
+void FailoverService::announce(const base::GroupName &group) {
+  if (DueIntents.empty())
+    Kernel->loop().postAfter(IntentCollectionTime, [this] { writeIntents(); });
+  DueIntents[group] = Cluster->view().Groups.at(group).Revision;
 }
 
 void FailoverService::pollPeers() {
@@ -280,9 +321,7 @@
       .add("take_over", evidence.TakingOver ? "yes" : "no");
   if (verdict != cluster::FailoverVerdict::StartFailover)
     return;
-  if (DueIntents.empty())
-    Kernel->loop().postAfter(IntentCollectionTime, [this] { writeIntents(); });
-  DueIntents[group] = collected.RecordRevision;
+  announce(group);
 }
 
 void FailoverService::writeIntents() {
@@ -302,6 +341,8 @@
         Failovers.contains(group) || changes.size() == platform::MaxKeyChanges)
       continue;
     cluster::GroupRecord record = it->second.Value;
+    record.Epoch =
+        std::max(record.Epoch, cluster::firstNumberOf(Cluster->view().Era));
     record.FailoverInProgress = true;
     record.Coordinator = cluster::formatIdentity(Cluster->self());
     record.Token = newDuty.Token;
@@ -377,7 +418,12 @@
     revokePeer(failover, peer);
   }
   failover->Registered = failover->Unacknowledged.size();
-  failover->Lease = cluster::longestLease(Cluster->view());
+  failover->Verifying =
+      cluster::isBeingVerified(failover->Record, failover->Era);
+  // The records of the nodes may be older than the leases that they hold.
+  failover->Lease = failover->Verifying || Cluster->mayHaveFormerNodes()
+                        ? cluster::PrimaryLease
+                        : cluster::longestLease(Cluster->view());
   auto wallTime = std::chrono::duration_cast<milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   failover->Quorum = cluster::revocationQuorum(
@@ -440,7 +486,62 @@
     return;
   }
   logStage(failover, "stopped");
-  stepDown(failover);
+  failover->ChoosingSince = base::BootClock::now();
+  if (failover->Verifying)
+    verifyLeader(failover);
+  else
+    stepDown(failover);
+}
+
+base::BootTime FailoverService::settledAt(const FailoverPtr &failover) const {
+  if (!Cluster->knewEarlierEra())
+    return StartedAt + PromotionSettleTime;
+  auto state = Checks.find(failover->Group);
+  bool interrupted = state != Checks.end() && state->second.InterruptedFailover;
+  return failover->ChoosingSince +
+         (interrupted ? PromotionSettleTime : milliseconds(0));
+}
+
+void FailoverService::verifyLeader(const FailoverPtr &failover) {
+  if (base::BootClock::now() < settledAt(failover)) {
+    scheduleStep(failover, StepRetry, &FailoverService::verifyLeader);
+    return;
+  }
+  failover->Candidates.clear();
+  std::vector<base::ServerId> ids;
+  for (const auto &[id, server] : Cluster->servers()) {
+    if (server.Group == failover->Group)
+      ids.push_back(id);
+  }
+  queryStatus(failover, ids, &FailoverService::recordLeader);
+}
+
+void FailoverService::recordLeader(const FailoverPtr &failover) {
+  const cluster::GroupRecord &record = failover->Record;
+  auto leader = cluster::findLeader(failover->Candidates, failover->QueriesSent,
+                                    record.Term);
+  if (!leader) {
+    bool expired = base::BootClock::now() >
+                   std::max(settledAt(failover), failover->ChoosingSince) +
+                       VerificationLimit;
+    if (!expired) {
+      scheduleStep(failover, StepRetry, &FailoverService::verifyLeader);
+      return;
+    }
+    logStage(failover, "leader_uncertain");
+    stepDown(failover);
+    return;
+  }
+  failover->Target = leader->Server;
+  failover->NewTerm = leader->Status.Term;
+  // Where the log ended when another term began is not known. With a position
+  // of zero, a server that is not in the new term counts as divergent.
+  bool sameTerm =
+      leader->Server == record.Primary && leader->Status.Term == record.Term;
+  failover->StartPosition =
+      sameTerm ? record.StartPosition : base::LogPosition{};
+  logStage(failover, "verified");
+  writeResult(failover);
 }
 
 void FailoverService::stepDown(const FailoverPtr &failover) {
@@ -484,16 +585,23 @@
   if (failover->OldStatus)
     failover->Candidates.push_back(
         {failover->Record.Primary, *failover->OldStatus, false, true});
+  queryStatus(failover, ids, &FailoverService::choose);
+}
+
+void FailoverService::queryStatus(
+    const FailoverPtr &failover, const std::vector<base::ServerId> &ids,
+    void (FailoverService::*next)(const FailoverPtr &)) {
+  failover->QueriesSent = ids.size();
   failover->QueriesOutstanding = ids.size();
   if (ids.empty()) {
-    choose(failover);
+    (this->*next)(failover);
     return;
   }
   for (const auto &id : ids) {
     Access.Query(
         id, platform::formatStatusQuery(), StatusTimeout,
-        [this, weak = std::weak_ptr<Failover>(failover),
-         id](const std::optional<sql::Reply> &reply) {
+        [this, weak = std::weak_ptr<Failover>(failover), id,
+         next](const std::optional<sql::Reply> &reply) {
           FailoverPtr it = weak.lock();
           if (!it || !isCurrent(it))
             return;
@@ -502,7 +610,7 @@
             it->Candidates.push_back(
                 {id, *status, Cluster->leavingSince(id).has_value(), false});
           if (--it->QueriesOutstanding == 0)
-            choose(it);
+            (this->*next)(it);
         });
   }
 }
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -6,10 +6,16 @@
 /// coordinator. The steps are: write the intent, wait until no node uses the
 /// old primary, make the old primary step down, choose a replica, promote it,
 /// wait until it leads, and write the new record.
+///
+/// After the store was restored from an older copy, the primary of each group
+/// is verified (cluster/ClusterView.h, RecordVerifier.h). If the nodes do not
+/// remember enough, the steps of a failover are taken, except that no server
+/// steps down or is promoted if the servers agree which one leads.
 #pragma once
 
 #include "baobabpin/cluster/MoveDecision.h"
 #include "baobabpin/control/ClusterService.h"
+#include "baobabpin/control/RecordVerifier.h"
 #include "baobabpin/kernel/Kernel.h"
 #include "baobabpin/kernel/LineLog.h"
 
@@ -19,6 +25,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace baobabpin::control {
 
@@ -64,12 +71,16 @@
     bool Polling = false;
     /// When the current revision of the record was first seen.
     base::BootTime RecordSeen{};
-    std::uint64_t RecordRevision = 0;
+    base::StorePosition RecordPosition;
+    /// A failover was in progress when the store was restored.
+    bool InterruptedFailover = false;
   };
 
   void tick();
   void checkGroup(const base::GroupName &group);
   void createRecord(const base::GroupName &group);
+  /// Verifies the group's primary unless another node should do so.
+  void requestVerification(const base::GroupName &group);
   /// Asks the monitors about the primaries of all groups in DuePolls.
   void pollPeers();
   /// Adds the reply of \p node to the evidence about each group.
@@ -79,6 +90,8 @@
   /// Decides on a failover after all peers have replied or timed out.
   void onEvidence(const base::GroupName &group,
                   const cluster::FailoverEvidence &evidence);
+  /// Announces a failover of the group with the next writeIntents().
+  void announce(const base::GroupName &group);
   /// Announces the failovers of all groups in DueIntents, with this node as
   /// their coordinator, in one change of the store. The primaries of a zone
   /// fail together, and one change for each would delay the last of them.
@@ -97,6 +110,16 @@
   /// old primary.
   bool hasLeaseEnded(const FailoverPtr &failover) const;
   void stepDown(const FailoverPtr &failover);
+  /// Returns when the servers may be asked who leads. Until then, a promotion
+  /// that was requested before the store was restored may still take effect.
+  base::BootTime settledAt(const FailoverPtr &failover) const;
+  void verifyLeader(const FailoverPtr &failover);
+  void recordLeader(const FailoverPtr &failover);
+  /// Asks the servers \p ids for their status, adds the replies to the
+  /// candidates, and then runs \p next.
+  void queryStatus(const FailoverPtr &failover,
+                   const std::vector<base::ServerId> &ids,
+                   void (FailoverService::*next)(const FailoverPtr &));
   void queryCandidates(const FailoverPtr &failover);
   void choose(const FailoverPtr &failover);
   void promote(const FailoverPtr &failover);
@@ -108,6 +131,7 @@
   kernel::LineLog &Log;
   http::Endpoint PromotionsEndpoint;
   std::unique_ptr<platform::Promotions> Promotions;
+  std::unique_ptr<RecordVerifier> Verifier;
   kernel::Kernel *Kernel = nullptr;
   ClusterService *Cluster = nullptr;
   std::map<base::GroupName, GroupCheckState> Checks;
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -131,6 +131,19 @@
   return json{{"suspected", it.Suspected}}.dump();
 }
 
+std::string encode(const RecordsRequest &it) {
+  return json{{"era", it.Era}}.dump();
+}
+
+std::string encode(const RecordsReply &it) {
+  json groups = json::object();
+  for (const auto &[group, known] : it.Groups)
+    groups[group] = {{"epoch", known.Epoch},
+                     {"moving", known.FailoverInProgress}};
+  return json{{"knew_earlier_era", it.KnewEarlierEra}, {"groups", groups}}
+      .dump();
+}
+
 std::uint64_t
 digestOf(const std::vector<cluster::ServerRegistration> &servers) {
   std::string text;
@@ -198,6 +211,22 @@
   });
 }
 
+std::optional<RecordsRequest> decodeRecordsRequest(const std::string &text) {
+  return decode(text, [](const json &it) {
+    return RecordsRequest{it.at("era").get<std::uint64_t>()};
+  });
+}
+
+std::optional<RecordsReply> decodeRecordsReply(const std::string &text) {
+  return decode(text, [](const json &it) {
+    RecordsReply reply{it.at("knew_earlier_era").get<bool>(), {}};
+    for (const auto &[group, known] : it.at("groups").items())
+      reply.Groups[group] = {known.at("epoch").get<std::uint64_t>(),
+                             known.at("moving").get<bool>()};
+    return reply;
+  });
+}
+
 void PeerCaller::call(
     const http::Endpoint &peer, const std::string &path,
     const std::string &body, std::chrono::milliseconds timeout,
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -21,6 +21,7 @@
 inline constexpr const char *SyncPath = "/peer/sync";
 inline constexpr const char *RevokePath = "/peer/revoke";
 inline constexpr const char *EvidencePath = "/peer/evidence";
+inline constexpr const char *RecordsPath = "/peer/records";
 
 /// Asks for everything that is newer than what the caller knows.
 struct SyncRequest {
@@ -98,11 +99,28 @@
   std::map<base::GroupName, GroupEvidence> Groups;
 };
 
+/// Asks what a node knew of the groups' primaries before the store was
+/// restored.
+struct RecordsRequest {
+  /// The era that the restore began. The node confirms and acknowledges nothing
+  /// of an earlier era from now on.
+  std::uint64_t Era = 0;
+};
+
+struct RecordsReply {
+  /// This run of the node was registered before the store was restored.
+  /// Otherwise it may not remember what it acknowledged.
+  bool KnewEarlierEra = false;
+  std::map<base::GroupName, cluster::KnownRecord> Groups;
+};
+
 std::string encode(const SyncRequest &it);
 std::string encode(const SyncReply &it);
 std::string encode(const RevokeRequest &it);
 std::string encode(const EvidenceReply &it);
 std::string encode(const EvidenceRequest &it);
+std::string encode(const RecordsRequest &it);
+std::string encode(const RecordsReply &it);
 /// Returns a hash that identifies a list of registrations.
 std::uint64_t digestOf(const std::vector<cluster::ServerRegistration> &servers);
 std::optional<SyncRequest> decodeSyncRequest(const std::string &text);
@@ -110,6 +128,8 @@
 std::optional<RevokeRequest> decodeRevokeRequest(const std::string &text);
 std::optional<EvidenceReply> decodeEvidenceReply(const std::string &text);
 std::optional<EvidenceRequest> decodeEvidenceRequest(const std::string &text);
+std::optional<RecordsRequest> decodeRecordsRequest(const std::string &text);
+std::optional<RecordsReply> decodeRecordsReply(const std::string &text);
 
 /// Sends calls to other nodes over pooled connections.
 class PeerCaller {
