Split the sources of the cluster and the failover service

Change: the synchronisation with peers moves to ClusterSync.cpp, the steps of a failover to FailoverSteps.cpp with their state in internal/Failover.h. Code is moved, not changed.

--- /dev/null
+++ b/baobabpin/control/FailoverSteps.cpp
@@ -0,0 +1,414 @@
+#include "baobabpin/control/FailoverService.h"
+
+#include "baobabpin/control/RecordKeys.h"
+#include "baobabpin/control/internal/Failover.h"
+#include "platform/Wire.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabpin::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds RevokeTimeout{500};
+constexpr milliseconds RevokeRetry{100};
+constexpr milliseconds StatusTimeout{250};
+constexpr milliseconds StepRetry{50};
+constexpr milliseconds PromotionPollPeriod{30};
+/// If the promoted server does not lead within this time, the coordinator
+/// chooses again. A promotion by the platform takes a few hundred milliseconds.
+constexpr milliseconds LeadershipTimeout{2500};
+/// The time for which a failover waits for the chosen replica to receive the
+/// whole log of the old primary, when the end of that log is known.
+constexpr milliseconds CatchUpLimit{400};
+/// A promotion takes effect within this time after the platform accepted it.
+constexpr milliseconds PromotionSettleTime{1000};
+/// The time for which a verification waits for all servers to agree which one
+/// leads. After it, a failover settles that.
+constexpr milliseconds VerificationLimit{600};
+/// The fencing token is used only if the view was confirmed within this node's
+/// lease less this margin, which covers the promotion call. A coordinator that
+/// takes over waits for this node's acknowledgement or for its lease before it
+/// promotes a server.
+constexpr milliseconds TokenMargin{500};
+
+/// Returns the reported status, or nothing when the report is missing or
+/// incomplete.
+std::optional<sql::ServerStatus> statusOf(const std::optional<sql::Reply> &it) {
+  if (!it || !it->succeeded() || it->Rows.empty())
+    return std::nullopt;
+  return platform::parseStatusRow(it->Rows.front());
+}
+
+} // namespace
+
+bool FailoverService::isCurrent(const FailoverPtr &failover) const {
+  auto it = Cluster->view().Groups.find(failover->Group);
+  return it != Cluster->view().Groups.end() &&
+         Cluster->view().Era == failover->Era &&
+         it->second.Value == failover->Record;
+}
+
+void FailoverService::scheduleStep(
+    const FailoverPtr &failover, milliseconds delay,
+    void (FailoverService::*step)(const FailoverPtr &)) {
+  failover->Next = Kernel->loop().runAfter(
+      delay, [this, weak = std::weak_ptr<Failover>(failover), step] {
+        FailoverPtr it = weak.lock();
+        if (it && isCurrent(it))
+          (this->*step)(it);
+      });
+}
+
+void FailoverService::logStage(const FailoverPtr &failover,
+                               std::string_view stage) {
+  Log.line("move")
+      .add("group", failover->Group)
+      .add("stage", stage)
+      .add("from", failover->Record.Primary)
+      .add("to", failover->Target)
+      .add("token", static_cast<std::int64_t>(failover->Record.Token))
+      .add("planned", failover->PrimaryWasReachable ? "yes" : "no")
+      .add("unacknowledged",
+           static_cast<std::int64_t>(failover->Unacknowledged.size()))
+      .add("lease_ms", failover->Lease)
+      .add("quorum", static_cast<std::int64_t>(failover->Quorum))
+      .add("elapsed_ms", base::BootClock::now() - failover->StartedAt);
+}
+
+void FailoverService::startFailover(const base::GroupName &group) {
+  auto failover = std::make_shared<Failover>();
+  failover->Group = group;
+  failover->Record = Cluster->view().Groups.at(group).Value;
+  failover->Era = Cluster->view().Era;
+  failover->StartedAt = base::BootClock::now();
+  failover->PrimaryWasReachable = !Access.Observe(group).Unreachable;
+  Failovers[group] = failover;
+  Cluster->revoke(group, failover->Record.Epoch);
+  const std::string &self = Cluster->self().Node;
+  failover->Unacknowledged.insert(self);
+  Cluster->Hooks.DrainPrimary(group,
+                              [weak = std::weak_ptr<Failover>(failover), self] {
+                                if (FailoverPtr it = weak.lock())
+                                  it->Unacknowledged.erase(self);
+                              });
+  for (const auto &peer : Cluster->revocationPeers()) {
+    failover->Unacknowledged.insert(peer.Name);
+    revokePeer(failover, peer);
+  }
+  failover->Registered = failover->Unacknowledged.size();
+  failover->Verifying =
+      cluster::isBeingVerified(failover->Record, failover->Era);
+  // The records of the nodes may be older than the leases that they hold.
+  failover->Lease = failover->Verifying || Cluster->mayHaveFormerNodes()
+                        ? cluster::PrimaryLease
+                        : cluster::longestLease(Cluster->view());
+  auto wallTime = std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  failover->Quorum = cluster::revocationQuorum(
+      failover->Registered,
+      cluster::countRecentlyAdded(Cluster->view(), wallTime));
+  logStage(failover, "started");
+  scheduleStep(failover, milliseconds(1), &FailoverService::waitForRevocation);
+}
+
+void FailoverService::revokePeer(const FailoverPtr &failover,
+                                 const PeerNode &peer) {
+  std::string body = encode(RevokeRequest{
+      failover->Group, failover->Record.Epoch, failover->Era,
+      cluster::encodeGroupChange(Cluster->view(), failover->Group)});
+  Cluster->caller().call(peer.Endpoint, RevokePath, body, RevokeTimeout,
+                         [this, weak = std::weak_ptr<Failover>(failover),
+                          peer](const std::optional<std::string> &reply) {
+                           FailoverPtr it = weak.lock();
+                           if (!it)
+                             return;
+                           if (reply) {
+                             it->Unacknowledged.erase(peer.Name);
+                             return;
+                           }
+                           Kernel->loop().postAfter(
+                               RevokeRetry, [this, weak, peer] {
+                                 FailoverPtr again = weak.lock();
+                                 if (again && isCurrent(again) &&
+                                     again->Unacknowledged.contains(peer.Name))
+                                   revokePeer(again, peer);
+                               });
+                         });
+}
+
+bool FailoverService::hasLeaseEnded(const FailoverPtr &failover) const {
+  auto lease = failover->Lease + cluster::LeaseMargin;
+  auto now = base::BootClock::now();
+  std::size_t acknowledged =
+      failover->Registered - failover->Unacknowledged.size();
+  if (!failover->QuorumAt && acknowledged >= failover->Quorum)
+    failover->QuorumAt = now;
+  if (failover->QuorumAt && now - *failover->QuorumAt > lease)
+    return true;
+  return now - failover->StartedAt > cluster::OfflineLimit + lease;
+}
+
+void FailoverService::waitForRevocation(const FailoverPtr &failover) {
+  // A node without a registration no longer uses the primary. It has removed
+  // the registration itself, or another node did so after its view could no
+  // longer be confirmed.
+  std::set<std::string> registered{Cluster->self().Node};
+  for (const auto &it : Cluster->revocationPeers())
+    registered.insert(it.Name);
+  std::erase_if(failover->Unacknowledged, [&](const std::string &it) {
+    return !registered.contains(it);
+  });
+  if (!failover->Unacknowledged.empty() && !hasLeaseEnded(failover)) {
+    scheduleStep(failover, milliseconds(5),
+                 &FailoverService::waitForRevocation);
+    return;
+  }
+  logStage(failover, "stopped");
+  failover->ChoosingSince = base::BootClock::now();
+  if (failover->Verifying)
+    verifyLeader(failover);
+  else
+    stepDown(failover);
+}
+
+base::BootTime FailoverService::settledAt(const FailoverPtr &failover) const {
+  if (!Cluster->knewEarlierEra())
+    return StartedAt + PromotionSettleTime;
+  auto state = Checks.find(failover->Group);
+  bool interrupted = state != Checks.end() && state->second.InterruptedFailover;
+  return failover->ChoosingSince +
+         (interrupted ? PromotionSettleTime : milliseconds(0));
+}
+
+void FailoverService::verifyLeader(const FailoverPtr &failover) {
+  if (base::BootClock::now() < settledAt(failover)) {
+    scheduleStep(failover, StepRetry, &FailoverService::verifyLeader);
+    return;
+  }
+  failover->Candidates.clear();
+  std::vector<base::ServerId> ids;
+  for (const auto &[id, server] : Cluster->servers()) {
+    if (server.Group == failover->Group)
+      ids.push_back(id);
+  }
+  queryStatus(failover, ids, &FailoverService::recordLeader);
+}
+
+void FailoverService::recordLeader(const FailoverPtr &failover) {
+  const cluster::GroupRecord &record = failover->Record;
+  auto leader = cluster::findLeader(failover->Candidates, failover->QueriesSent,
+                                    record.Term);
+  if (!leader) {
+    bool expired = base::BootClock::now() >
+                   std::max(settledAt(failover), failover->ChoosingSince) +
+                       VerificationLimit;
+    if (!expired) {
+      scheduleStep(failover, StepRetry, &FailoverService::verifyLeader);
+      return;
+    }
+    logStage(failover, "leader_uncertain");
+    stepDown(failover);
+    return;
+  }
+  failover->Target = leader->Server;
+  failover->NewTerm = leader->Status.Term;
+  // Where the log ended when another term began is not known. With a position
+  // of zero, a server that is not in the new term counts as divergent.
+  bool sameTerm =
+      leader->Server == record.Primary && leader->Status.Term == record.Term;
+  failover->StartPosition =
+      sameTerm ? record.StartPosition : base::LogPosition{};
+  logStage(failover, "verified");
+  writeResult(failover);
+}
+
+void FailoverService::stepDown(const FailoverPtr &failover) {
+  failover->ChoosingSince = base::BootClock::now();
+  std::weak_ptr<Failover> weak = failover;
+  auto onStatus = [this, weak](const std::optional<sql::Reply> &reply) {
+    FailoverPtr it = weak.lock();
+    if (!it || !isCurrent(it))
+      return;
+    auto status = statusOf(reply);
+    if (!status || status->Role != sql::ServerRole::Primary) {
+      it->OldStatus = status;
+      queryCandidates(it);
+      return;
+    }
+    Access.Query(
+        it->Record.Primary, platform::formatStepDown(status->Term + 1),
+        StatusTimeout, [this, weak](const std::optional<sql::Reply> &stepped) {
+          FailoverPtr current = weak.lock();
+          if (!current || !isCurrent(current))
+            return;
+          if (auto it = statusOf(stepped))
+            current->OldStatus = it;
+          logStage(current, current->OldStatus ? "stepped_down"
+                                               : "step_down_unconfirmed");
+          queryCandidates(current);
+        });
+  };
+  Access.Query(failover->Record.Primary, platform::formatStatusQuery(),
+               StatusTimeout, onStatus);
+}
+
+void FailoverService::queryCandidates(const FailoverPtr &failover) {
+  failover->Candidates.clear();
+  std::vector<base::ServerId> ids;
+  for (const auto &[id, server] : Cluster->servers()) {
+    if (server.Group == failover->Group && id != failover->Record.Primary &&
+        !failover->RefusedTargets.contains(id))
+      ids.push_back(id);
+  }
+  if (failover->OldStatus)
+    failover->Candidates.push_back(
+        {failover->Record.Primary, *failover->OldStatus, false, true});
+  queryStatus(failover, ids, &FailoverService::choose);
+}
+
+void FailoverService::queryStatus(
+    const FailoverPtr &failover, const std::vector<base::ServerId> &ids,
+    void (FailoverService::*next)(const FailoverPtr &)) {
+  failover->QueriesSent = ids.size();
+  failover->QueriesOutstanding = ids.size();
+  if (ids.empty()) {
+    (this->*next)(failover);
+    return;
+  }
+  for (const auto &id : ids) {
+    Access.Query(
+        id, platform::formatStatusQuery(), StatusTimeout,
+        [this, weak = std::weak_ptr<Failover>(failover), id,
+         next](const std::optional<sql::Reply> &reply) {
+          FailoverPtr it = weak.lock();
+          if (!it || !isCurrent(it))
+            return;
+          auto status = statusOf(reply);
+          if (status)
+            it->Candidates.push_back(
+                {id, *status, Cluster->leavingSince(id).has_value(), false});
+          if (--it->QueriesOutstanding == 0)
+            (this->*next)(it);
+        });
+  }
+}
+
+void FailoverService::choose(const FailoverPtr &failover) {
+  failover->RefusedTargets.clear();
+  auto best =
+      cluster::choosePrimary(failover->Candidates, failover->Record.Term,
+                             failover->Record.StartPosition);
+  if (!best) {
+    scheduleStep(failover, StepRetry, &FailoverService::stepDown);
+    return;
+  }
+  bool behind = failover->OldStatus && !best->IsCurrentPrimary &&
+                best->Status.Role == sql::ServerRole::Replica &&
+                best->Status.Received < failover->OldStatus->Received;
+  if (behind &&
+      base::BootClock::now() - failover->ChoosingSince < CatchUpLimit) {
+    scheduleStep(failover, milliseconds(15), &FailoverService::queryCandidates);
+    return;
+  }
+  failover->Target = best->Server;
+  failover->StartPosition = best->Status.Received;
+  Log.line("move_candidate")
+      .add("group", failover->Group)
+      .add("server", best->Server)
+      .add("received", platform::formatLogPosition(best->Status.Received))
+      .add("candidates", static_cast<std::int64_t>(failover->Candidates.size()))
+      .add("old_received",
+           failover->OldStatus
+               ? platform::formatLogPosition(failover->OldStatus->Received)
+               : "unknown");
+  promote(failover);
+}
+
+void FailoverService::promote(const FailoverPtr &failover) {
+  // A node that was suspended may hold a fencing token that another coordinator
+  // has replaced.
+  if (Cluster->viewAge() > Cluster->lease() - TokenMargin) {
+    scheduleStep(failover, StepRetry, &FailoverService::promote);
+    return;
+  }
+  Promotions->promote(
+      failover->Group, failover->Target, Cluster->self().Node,
+      failover->Record.Token,
+      [this, weak = std::weak_ptr<Failover>(failover)](
+          platform::PromotionResult result) {
+        FailoverPtr it = weak.lock();
+        if (!it || !isCurrent(it))
+          return;
+        switch (result) {
+        case platform::PromotionResult::Accepted:
+          logStage(it, "promoted");
+          it->PromotedAt = base::BootClock::now();
+          waitForPromotion(it);
+          return;
+        case platform::PromotionResult::Refused:
+          logStage(it, "promotion_refused");
+          it->RefusedTargets.insert(it->Target);
+          scheduleStep(it, StepRetry, &FailoverService::queryCandidates);
+          return;
+        case platform::PromotionResult::Unknown:
+          logStage(it, "promotion_unanswered");
+          scheduleStep(it, StepRetry, &FailoverService::promote);
+          return;
+        }
+      });
+}
+
+void FailoverService::waitForPromotion(const FailoverPtr &failover) {
+  if (base::BootClock::now() - failover->PromotedAt > LeadershipTimeout) {
+    logStage(failover, "not_leading");
+    stepDown(failover);
+    return;
+  }
+  Access.Query(failover->Target, platform::formatStatusQuery(), StatusTimeout,
+               [this, weak = std::weak_ptr<Failover>(failover)](
+                   const std::optional<sql::Reply> &reply) {
+                 FailoverPtr it = weak.lock();
+                 if (!it || !isCurrent(it))
+                   return;
+                 auto status = statusOf(reply);
+                 bool present = it->Target == it->Record.Primary;
+                 if (status &&
+                     cluster::isLeading(*status, it->Record.Term, present)) {
+                   logStage(it, "leads");
+                   it->NewTerm = status->Term;
+                   writeResult(it);
+                   return;
+                 }
+                 scheduleStep(it, PromotionPollPeriod,
+                              &FailoverService::waitForPromotion);
+               });
+}
+
+void FailoverService::writeResult(const FailoverPtr &failover) {
+  cluster::GroupRecord record = failover->Record;
+  ++record.Epoch;
+  record.Primary = failover->Target;
+  record.Term = failover->NewTerm;
+  record.StartPosition = failover->StartPosition;
+  record.FailoverInProgress = false;
+  record.Coordinator.clear();
+  auto revision = Cluster->view().Groups.at(failover->Group).Revision;
+  Cluster->change(
+      {{groupKey(failover->Group), cluster::encodeRecord(record), revision,
+        false}},
+      [this, weak = std::weak_ptr<Failover>(failover)](
+          const store::StoreReply &reply) {
+        FailoverPtr it = weak.lock();
+        if (!it)
+          return;
+        logStage(it, std::string("recorded_") +
+                         std::string(store::storeStatusName(reply.Status)));
+        if (reply.Status != store::StoreStatus::Ok)
+          scheduleStep(it, milliseconds(200), &FailoverService::writeResult);
+      });
+}
+
+} // namespace baobabpin::control
