Read messages of a program version that does not know of eras

Cause: while a new version is rolled out, its nodes refused the messages of the old one, which have no era, and the other way round nothing was lost. Change: a missing era, or a missing start of a server, reads as 0. Result: a new case of MalformedMessagesTest; control, cluster and distribution pass.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -246,7 +246,8 @@
     view.Nodes = recordsFrom<NodeRecord>(object.at("nodes"), nodeFrom);
     view.Duty = {dutyFrom(object.at("duty")),
                  object.at("duty_revision").get<std::uint64_t>()};
-    view.Era = object.at("era").get<std::uint64_t>();
+    // A program version without this field does not know of eras.
+    view.Era = object.value("era", std::uint64_t{0});
     view.Revision = object.at("revision").get<std::uint64_t>();
   } catch (const json::exception &) {
     return {};
--- a/baobabpin/control/MalformedMessagesTest.cpp
+++ b/baobabpin/control/MalformedMessagesTest.cpp
@@ -185,5 +185,16 @@
   }
 }
 
+TEST_CASE("messages of a program version that does not know of eras are read") {
+  auto sync = decodeSyncRequest(
+      R"({"node":"n1","view_revision":7,"view_digest":1,"servers_digest":2,)"
+      R"("change":""})");
+  REQUIRE(sync);
+  CHECK(sync->ViewPosition == base::StorePosition{0, 7});
+  auto revoke = decodeRevokeRequest(R"({"group":"g","epoch":3,"change":""})");
+  REQUIRE(revoke);
+  CHECK(revoke->Era == 0);
+}
+
 } // namespace
 } // namespace baobabpin::control
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -60,12 +60,16 @@
           it.at("slots").get<int>(),
           it.at("primary").get<bool>() ? sql::ServerRole::Primary
                                        : sql::ServerRole::Replica,
-          it.at("started_ms").get<std::int64_t>()};
+          it.value("started_ms", std::int64_t{0})};
+}
+
+/// A program version that does not know of eras does not send them.
+std::uint64_t eraFrom(const json &it, const char *name) {
+  return it.value(name, std::uint64_t{0});
 }
 
 base::StorePosition viewPositionFrom(const json &it) {
-  return {it.at("view_era").get<std::uint64_t>(),
-          it.at("view_revision").get<std::uint64_t>()};
+  return {eraFrom(it, "view_era"), it.at("view_revision").get<std::uint64_t>()};
 }
 
 PositionReport positionFrom(const json &it) {
@@ -187,7 +191,7 @@
   return decode(text, [](const json &it) {
     return RevokeRequest{
         it.at("group").get<std::string>(), it.at("epoch").get<std::uint64_t>(),
-        it.at("era").get<std::uint64_t>(), it.at("change").get<std::string>()};
+        eraFrom(it, "era"), it.at("change").get<std::string>()};
   });
 }
 
--- a/baobabpin/distribution/PatchTransfer.cpp
+++ b/baobabpin/distribution/PatchTransfer.cpp
@@ -70,7 +70,7 @@
     json it = json::parse(text.substr(0, end));
     PatchHeader header{it.at("from").get<std::uint64_t>(),
                        it.at("to").get<std::uint64_t>(),
-                       {it.at("era").get<std::uint64_t>(),
+                       {it.value("era", std::uint64_t{0}),
                         it.at("revision").get<std::uint64_t>()},
                        it.at("hash").get<std::uint64_t>(),
                        it.at("text_size").get<std::size_t>(),
