Word the comments on eras for a reader who is new to them

Cause: a list in ClusterView.h was broken by the formatter, and three comments did not say what a reader needs.

--- a/baobabpin/cluster/ClusterView.h
+++ b/baobabpin/cluster/ClusterView.h
@@ -31,9 +31,9 @@
 /// may have been replaced. It is used again only after a coordinator has
 /// verified it (isVerified()) in one of two ways:
 ///
-///   - confirmQuorum() nodes that had a view before the restore know of no
-///   later
-///     record and of no failover. One of them would have acknowledged it.
+///   - Of the nodes that were registered before the restore, confirmQuorum()
+///     know of no later record and of no failover. One of them would have
+///     acknowledged it.
 ///   - The coordinator has made all nodes stop using the primary, as for a
 ///     failover, and all servers of the group agree which one leads.
 #pragma once
@@ -106,8 +106,7 @@
   return era * NumbersPerEra;
 }
 
-/// Returns whether the record was written in \p era, or checked against the
-/// group's servers since that era began.
+/// Returns whether the record was written, or verified, since \p era began.
 constexpr bool isVerified(const GroupRecord &record, std::uint64_t era) {
   return record.Epoch > firstNumberOf(era);
 }
--- a/baobabpin/control/ConfigDistribution.cpp
+++ b/baobabpin/control/ConfigDistribution.cpp
@@ -68,7 +68,7 @@
   if (reply.Era < SeenAt.Era)
     return;
   bool sameEra = std::exchange(SeenAt.Era, reply.Era) == reply.Era;
-  // The store has given out the revision again, perhaps for another version.
+  // In the new era the store may have given the revision to another version.
   if (!reply.Entry && !sameEra && std::exchange(SeenAt.Revision, 0) != 0) {
     readStore();
     return;
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -17,7 +17,7 @@
 /// connections yet.
 constexpr milliseconds StartupGracePeriod{3000};
 /// A node that is not the first monitor waits this long before it creates a
-/// missing record.
+/// missing record or verifies one.
 constexpr milliseconds RecordCreationDelay{1500};
 constexpr milliseconds EvidenceTimeout{150};
 /// Decisions that follow each other within this time are announced together.
