End the round about remembered records with the quorum

Cause, likely: 195 nodes had 150 ms to say what they remember, and too few did, so each of 20 groups was revoked at 194 nodes. Change: a round ends as soon as a quorum has replied, after 1 s at the latest. A node vouches for its last view only if the store had confirmed it recently, as for a confirmation without the store (OfflineLimit): otherwise a failover could have completed without an acknowledgement of that node.

--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -222,8 +222,7 @@
   RegistrationRevision = 0;
   if (before.Revision == 0)
     return;
-  if (isRegisteredIn(before))
-    KnewEarlierEra = true;
+  KnewEarlierEra = canVouchFor(before);
   FormerNodes.clear();
   FormerNodesUntil = base::BootClock::now() + cluster::OfflineLimit +
                      cluster::PrimaryLease + cluster::LeaseMargin;
@@ -237,6 +236,11 @@
   return base::BootClock::now() < FormerNodesUntil;
 }
 
+bool ClusterService::canVouchFor(const cluster::ClusterView &view) const {
+  return isRegisteredIn(view) &&
+         base::BootClock::now() - view.StoreConfirmedAt < cluster::OfflineLimit;
+}
+
 std::vector<PeerNode> ClusterService::revocationPeers() const {
   auto list = peers();
   if (!mayHaveFormerNodes())
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -100,9 +100,8 @@
   /// Returns the nodes that a failover must wait for: the registered ones, and
   /// those whose registration was lost when the store was restored.
   std::vector<PeerNode> revocationPeers() const;
-  /// Returns whether this run of the node was registered in an earlier era.
-  /// Otherwise it may not know what it acknowledged before the store was
-  /// restored.
+  /// Returns whether this run of the node can vouch for its last view of an
+  /// earlier era.
   bool knewEarlierEra() const { return KnewEarlierEra; }
   /// Returns whether the store was restored so recently that nodes may still
   /// use primaries as of the earlier era.
@@ -170,6 +169,10 @@
   /// Writes the registration of this node unless the view contains it.
   void ensureRegistered();
   bool isRegistered() const;
+  /// Returns whether this node would know of a failover that could complete
+  /// before the store was restored: this run of the node is registered in
+  /// \p view, and the store confirmed the view recently (see OfflineLimit).
+  bool canVouchFor(const cluster::ClusterView &view) const;
   /// Returns whether \p view has the registration of this run of the node.
   bool isRegisteredIn(const cluster::ClusterView &view) const;
   /// Returns the lease that suits the size of the fleet.
--- a/baobabpin/control/ClusterSync.cpp
+++ b/baobabpin/control/ClusterSync.cpp
@@ -243,8 +243,8 @@
 void ClusterService::onRecordsRequest(const RecordsRequest &request,
                                       const http::ResponderPtr &responder) {
   noteEra(request.Era, "records");
-  bool isOfEarlierEra = View.Era < request.Era && isRegistered();
-  RecordsReply reply{isOfEarlierEra || KnewEarlierEra, {}};
+  bool knows = View.Era < request.Era ? canVouchFor(View) : KnewEarlierEra;
+  RecordsReply reply{knows, {}};
   for (const auto &[group, it] : View.Groups)
     reply.Groups[group] = {it.Value.Epoch, it.Value.FailoverInProgress};
   responder->json(200, encode(reply));
--- a/baobabpin/control/RecordVerifier.cpp
+++ b/baobabpin/control/RecordVerifier.cpp
@@ -11,7 +11,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds CollectionTime{5};
-constexpr milliseconds ReplyTimeout{150};
+/// The round ends earlier as soon as a quorum has replied. In a large fleet the
+/// replies take a while, because a connection to each node is opened first.
+constexpr milliseconds ReplyTimeout{1000};
 
 /// Returns what \p replies say about \p group.
 std::vector<cluster::KnownRecord>
@@ -34,6 +36,9 @@
   /// The replies of the nodes that were registered before the restore.
   std::vector<RecordsReply> Replies;
   std::size_t Outstanding = 0;
+  /// The number of nodes, this one included, that have to remember a record.
+  std::size_t Quorum = 0;
+  bool Ended = false;
 };
 
 void RecordVerifier::add(const base::GroupName &group) {
@@ -48,6 +53,7 @@
   round->Era = Cluster.view().Era;
   round->Groups = std::exchange(Due, {});
   round->Outstanding = peers.size();
+  round->Quorum = cluster::confirmQuorum(peers.size() + 1);
   Asking = true;
   if (peers.empty()) {
     endRound(*round);
@@ -59,7 +65,9 @@
       auto reply = text ? decodeRecordsReply(*text) : std::nullopt;
       if (reply && reply->KnewEarlierEra)
         round->Replies.push_back(std::move(*reply));
-      if (--round->Outstanding == 0)
+      bool done = --round->Outstanding == 0 ||
+                  round->Replies.size() + 1 >= round->Quorum;
+      if (done && !std::exchange(round->Ended, true))
         endRound(*round);
     };
     Cluster.caller().call(peer.Endpoint, RecordsPath, body, ReplyTimeout,
@@ -72,7 +80,6 @@
   const auto &view = Cluster.view();
   if (view.Era != round.Era)
     return;
-  auto quorum = cluster::confirmQuorum(Cluster.revocationPeers().size() + 1);
   std::vector<base::GroupName> verified;
   for (const auto &group : round.Groups) {
     const cluster::GroupRecord &record = view.Groups.at(group).Value;
@@ -80,13 +87,13 @@
         cluster::isBeingVerified(record, view.Era))
       continue;
     auto others = recordsOf(round.Replies, group);
-    bool latest = cluster::isLatestRecord(record, others, quorum);
+    bool latest = cluster::isLatestRecord(record, others, round.Quorum);
     Log.line("records_compared")
         .add("group", group)
         .add("primary", record.Primary)
         .add("epoch", static_cast<std::int64_t>(record.Epoch))
         .add("replies", static_cast<std::int64_t>(others.size()))
-        .add("quorum", static_cast<std::int64_t>(quorum))
+        .add("quorum", static_cast<std::int64_t>(round.Quorum))
         .add("latest", latest ? "yes" : "no");
     if (latest)
       verified.push_back(group);
