Do not call a change in force while nodes of the fleet are not known yet

Cause: queryInForce() counts the members that the asked node knows, and the watcher of a zone those that it knows. A node that has just started knows a part of the fleet, and nothing said that others were missing: the list of unconfirmed nodes was empty in each failing start, so no node was taken for dead or cut off.

Change: the asked node adds the members of a zone that the zone's watcher does not name. For 10 s after its start and after each join it also counts the live hosts of the platform's list of which it knows no node, with the reason "unknown". The stand-in of the store gets that list in scripts/lib/cluster.py, as the platform publishes it; the check in operations is unchanged.

--- a/baobabpin/configsync/ConfigSyncService.cpp
+++ b/baobabpin/configsync/ConfigSyncService.cpp
@@ -70,6 +70,7 @@
   TimePoint NextFullPull;
 
   TimePoint WatchFrom;
+  TimePoint MembersSettledAt;
   bool MembersChanged = true;
   std::vector<base::NodeId> Watchers;
   AppliedRevisions Applied;
@@ -91,6 +92,9 @@
   void onSyncReply(const base::NodeId &from, const Pull &pull,
                    const std::optional<proto::SyncReply> &reply);
 
+  void expectMoreMembers() {
+    MembersSettledAt = now() + Settings.JoinSettleTime;
+  }
   void tick();
   void updateRole();
   void reportApplied();
@@ -153,6 +157,8 @@
       });
   Membership->onChange([this](const membership::MemberChange &change) {
     MembersChanged = true;
+    if (!change.Previous)
+      expectMoreMembers();
     if (change.Removed)
       Applied.erase(change.Record.Node);
   });
@@ -308,6 +314,7 @@
   Impl->startParts();
   Impl->listen();
   Impl->WatchFrom = Impl->now() + Impl->Settings.SettleTime;
+  Impl->expectMoreMembers();
   Impl->Ticker = kernel.loop().runEvery(TickPeriod, [this] { Impl->tick(); });
   return {};
 }
@@ -440,12 +447,23 @@
     Impl->Peers->inForce(
         Impl->Membership->find(watchers.front())->PeerEndpoint, request,
         [this, zone, revision,
-         add](const std::optional<proto::InForceReply> &part) {
-          add(part
-                  ? *part
-                  : cutOffConfirmations(zone, Impl->memberRecords(), revision));
+         add](const std::optional<proto::InForceReply> &reply) {
+          auto members = Impl->memberRecords();
+          auto part =
+              reply ? *reply : cutOffConfirmations(zone, members, revision);
+          addMissingMembers(part, zone, members, revision);
+          add(part);
         });
   }
+  if (Impl->now() < Impl->MembersSettledAt) {
+    ++query->Outstanding;
+    Impl->Store->hosts([this, add](const store::StoreReply &reply) {
+      proto::InForceReply part;
+      if (reply.Status == store::StoreStatus::Ok)
+        addUnknownHosts(part, reply.Hosts, Impl->memberRecords());
+      add(part);
+    });
+  }
   // The count began at 1, so that parts known here cannot end the query early.
   add({});
 }
--- a/baobabpin/configsync/ConfigSyncService.h
+++ b/baobabpin/configsync/ConfigSyncService.h
@@ -32,6 +32,9 @@
   /// A starting node does not watch the store before this time: until it knows
   /// its zone's members, every node ranks itself first.
   std::chrono::milliseconds SettleTime{1000};
+  /// For this long after its start, and after each member that joins, a node
+  /// assumes that it does not know all members yet.
+  std::chrono::milliseconds JoinSettleTime{10'000};
 };
 
 using WriteCallback = std::function<void(WriteResult)>;
@@ -79,7 +82,9 @@
   /// they applied \p revision.
   proto::InForceReply handleInForce(std::uint64_t revision) const;
   /// Asks the watchers of all zones; nodes of a zone that gives no answer
-  /// within a second are listed as cut off.
+  /// within a second are listed as cut off. While members are joining, the
+  /// platform's live hosts without a known member are listed as unknown; if the
+  /// store does not answer, only the known members are listed.
   void queryInForce(std::uint64_t revision, const InForceCallback &callback);
 
 private:
--- a/baobabpin/configsync/ConfigSyncServiceTest.cpp
+++ b/baobabpin/configsync/ConfigSyncServiceTest.cpp
@@ -16,6 +16,8 @@
 using membership::MembershipService;
 using store::testing::FakeStore;
 
+constexpr auto JoinSettleTime = 1500ms;
+
 /// A node with the services that configsync works with.
 class TestNode {
 public:
@@ -33,7 +35,9 @@
     settings.Seeds = seeds;
     settings.FleetSecret = "secret";
     auto sync = std::make_unique<ConfigSyncService>(
-        ConfigSyncSettings{.Store = std::move(store), .SettleTime = 300ms});
+        ConfigSyncSettings{.Store = std::move(store),
+                           .SettleTime = 300ms,
+                           .JoinSettleTime = JoinSettleTime});
     Config = sync.get();
     peers->setSyncHandler([this](const proto::SyncRequest &request) {
       return Config->handleSync(request);
@@ -211,5 +215,50 @@
   }
 }
 
+TEST_CASE("a change is not in force while hosts may not be known yet") {
+  // Guards against "in force" from a node that knows a part of the fleet only.
+  Fleet fleet(1);
+  fleet.Store.Hosts = {{{"host", "host-0/1"}, {"state", "live"}},
+                       {{"host", "host-1/2"}, {"state", "live"}}};
+  fleet.Store.write("resources/group/g1", "one");
+  REQUIRE(fleet.runUntil(
+      [&] { return fleet.allHave("resources/group/g1", "one"); }));
+  proto::InForceReply last;
+  auto ask = [&] {
+    bool replied = false;
+    fleet.Nodes[0]->Config->queryInForce(1,
+                                         [&](const proto::InForceReply &reply) {
+                                           last = reply;
+                                           replied = true;
+                                         });
+    REQUIRE(fleet.runUntil([&] { return replied; }));
+  };
+  auto reasonOf = [&](const std::string &node) {
+    for (const auto &it : last.nodes()) {
+      if (it.node() == node)
+        return it.reason();
+    }
+    return std::string("missing");
+  };
+  ask();
+  CHECK(reasonOf("host-0/1").empty());
+  CHECK(reasonOf("host-1/2") == "unknown");
+
+  SUBCASE("a host whose node has joined is asked like all others") {
+    fleet.Nodes.push_back(fleet.makeNode(1));
+    CHECK(fleet.runUntil([&] {
+      ask();
+      return reasonOf("host-1/2").empty();
+    }));
+    CHECK(last.nodes_size() == 2);
+  }
+  SUBCASE("a host that stays unknown does not hold a change up for long") {
+    CHECK(fleet.runUntil([&] {
+      ask();
+      return reasonOf("host-1/2") == "missing";
+    }));
+  }
+}
+
 } // namespace
 } // namespace baobabpin::configsync
--- a/baobabpin/configsync/Watchers.cpp
+++ b/baobabpin/configsync/Watchers.cpp
@@ -3,6 +3,7 @@
 #include "baobabpin/base/Hash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace baobabpin::configsync {
 namespace {
@@ -82,4 +83,32 @@
   return reply;
 }
 
+void addMissingMembers(proto::InForceReply &reply,
+                       const base::AvailabilityZone &zone,
+                       const MemberRecords &records, std::uint64_t revision) {
+  std::set<base::NodeId> named;
+  for (const auto &it : reply.nodes())
+    named.insert(it.node());
+  auto known = confirmationsOf(zone, records, {}, revision);
+  for (const auto &it : known.nodes()) {
+    if (!named.contains(it.node()))
+      *reply.add_nodes() = it;
+  }
+}
+
+void addUnknownHosts(proto::InForceReply &reply,
+                     const std::vector<store::HostEntry> &hosts,
+                     const MemberRecords &records) {
+  std::set<std::string> known;
+  for (const MemberRecord *it : records)
+    known.insert(it->Host);
+  for (const auto &it : hosts) {
+    if (it.State != store::HostState::Live || known.contains(it.Host))
+      continue;
+    auto *node = reply.add_nodes();
+    node->set_node(it.Host);
+    node->set_reason("unknown");
+  }
+}
+
 } // namespace baobabpin::configsync
--- a/baobabpin/configsync/Watchers.h
+++ b/baobabpin/configsync/Watchers.h
@@ -7,6 +7,7 @@
 
 #include "baobabpin/membership/MemberList.h"
 #include "baobabpin/proto/peer.pb.h"
+#include "baobabpin/store/StoreClient.h"
 
 #include <map>
 #include <vector>
@@ -37,4 +38,16 @@
                                         const MemberRecords &records,
                                         std::uint64_t revision);
 
+/// Adds the members of \p zone that \p reply, from a watcher of that zone, does
+/// not name: a watcher that has just started does not know them yet.
+void addMissingMembers(proto::InForceReply &reply,
+                       const base::AvailabilityZone &zone,
+                       const MemberRecords &records, std::uint64_t revision);
+
+/// Adds the live hosts in the platform's list of which no member is known. Each
+/// is named in place of its node.
+void addUnknownHosts(proto::InForceReply &reply,
+                     const std::vector<store::HostEntry> &hosts,
+                     const MemberRecords &records);
+
 } // namespace baobabpin::configsync
--- a/baobabpin/configsync/WatchersTest.cpp
+++ b/baobabpin/configsync/WatchersTest.cpp
@@ -68,6 +68,25 @@
   auto cutOff = cutOffConfirmations("b", pointersTo(records), 50);
   CHECK(cutOff.nodes_size() == 4);
   CHECK(reasonOf(cutOff, "host-7/1") == "cut_off");
+
+  SUBCASE("a member that the zone's watcher does not know is added") {
+    std::vector<MemberRecord> first(records.begin(), records.begin() + 3);
+    reply = confirmationsOf("a", pointersTo(first), {{"host-0/1", 51}}, 50);
+    addMissingMembers(reply, "a", pointersTo(records), 50);
+    CHECK(reply.nodes_size() == 5);
+    CHECK(reasonOf(reply, "host-0/1").empty());
+    CHECK(reasonOf(reply, "host-4/1") == "pending");
+  }
+  SUBCASE("a live host without a member is added") {
+    records[0].Host = "host-0";
+    addUnknownHosts(reply,
+                    {{"host-0", store::HostState::Live},
+                     {"host-20", store::HostState::Live},
+                     {"host-21", store::HostState::Leaving}},
+                    pointersTo(records));
+    CHECK(reply.nodes_size() == 6);
+    CHECK(reasonOf(reply, "host-20") == "unknown");
+  }
 }
 
 } // namespace
--- a/baobabpin/operators/ResourceBackend.h
+++ b/baobabpin/operators/ResourceBackend.h
@@ -47,7 +47,8 @@
 struct UnconfirmedNode {
   std::string Node;
   std::string Zone;
-  /// "pending", "leaving", "cut_off" or "dead".
+  /// "pending", "leaving", "cut_off", "dead" or "unknown". With "unknown", Node
+  /// is a host in the platform's list of which no node is known.
   std::string Reason;
 
   bool operator==(const UnconfirmedNode &) const = default;
--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -76,12 +76,15 @@
 
     def start_platform(self):
         self.processes.start("store", [
-            self.binary("standin_store"), "--listen", self.layout.store])
+            self.binary("standin_store"), "--listen", self.layout.store,
+            "--hosts-lag-ms", 0])
         fault_proxy.start(self)
         for server in self.layout.servers:
             self.processes.start("upstream-" + server.id,
                                  self.upstream_arguments(server))
         self.wait_for(self.platform_answers, "the stand-ins to answer")
+        post(self.layout.store, "/admin/hosts",
+             [{"host": it.id, "state": "live"} for it in self.layout.nodes])
 
     def upstream_arguments(self, server):
         members = self.layout.groups()[server.group]
