Verify the primary of a record that is created after a restore

What callers would have seen: stale reads at a primary that had been replaced. The postmortem listed it as suspected only.

Cause: when the copy from which the store was restored is older than a group's record, a node that has just started creates the record again, with the server that is registered as primary. It counted as verified. If the failover that replaced that server fell into the lost seconds, the registration of the new primary is lost as well.

Change: after a restore such a record gets epoch 0 and is verified like any other record of an earlier era. Nodes that know of a lost record keep what they know when the record is created anew, so it is not hidden by less.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace baobabpin::cluster {
 namespace {
@@ -130,16 +131,23 @@
   return it.Token > other.Token;
 }
 
+/// The number that only grows as long as the store loses nothing.
+std::uint64_t numberOf(const GroupRecord &it) { return it.Epoch; }
+std::uint64_t numberOf(const DutyRecord &it) { return it.Token; }
+
 /// Adopts \p other if its revision is newer, or if it holds what is known of a
-/// lost record with the same revision.
+/// lost record with the same revision. A record that was created anew does not
+/// replace what is known of the lost one.
 template <typename T>
 bool keepNewer(Versioned<T> &record, const Versioned<T> &other) {
   bool newer =
       other.Revision > record.Revision ||
       (other.Revision == record.Revision && isLater(other.Value, record.Value));
-  if (newer)
-    record = other;
-  return newer;
+  Versioned<T> older = newer ? std::exchange(record, other) : other;
+  bool lost = numberOf(older.Value) > numberOf(record.Value);
+  if (lost)
+    record.Value = std::move(older.Value);
+  return newer || lost;
 }
 
 /// Keeps the contents of \p lost, a record of an earlier era, if they are later
--- a/baobabpin/cluster/ClusterViewTest.cpp
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -190,6 +190,16 @@
     mergeView(view, restored);
     CHECK(view.Groups["g"].Value.Primary == "s1");
   }
+  SUBCASE("a record that is created anew does not hide what is known") {
+    restored.Revision = 4;
+    restored.Groups["g"] = {{.Epoch = 0, .Primary = "s0"}, 4};
+    mergeView(view, restored);
+    CHECK(view.Groups["g"].Value.Primary == "s1");
+    CHECK(view.Groups["g"].Revision == 4);
+    CHECK_FALSE(applyGroupChange(view, encodeGroupChange(restored, "g")));
+    CHECK(applyGroupChange(restored, encodeGroupChange(view, "g")));
+    CHECK(restored.Groups["g"].Value.Primary == "s1");
+  }
   SUBCASE("a record that is written in the new era replaces it") {
     restored.Revision = 4;
     restored.Groups["g"] = {{.Epoch = firstNumberOf(1), .Primary = "s2"}, 4};
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -140,11 +140,11 @@
   }
   if (primaries.empty())
     return;
-  // One of several may have missed a promotion whose record was lost, so the
-  // record is created as one that is to be verified.
-  auto epoch = cluster::firstNumberOf(Cluster->view().Era);
-  if (primaries.size() == 1)
-    ++epoch;
+  // One of several may have missed a promotion whose record was lost, and so
+  // may the only one if the store was restored. Such a record says less than
+  // any lost one and is to be verified.
+  bool isFirst = primaries.size() == 1 && Cluster->view().Era == 0;
+  std::uint64_t epoch = isFirst ? 1 : 0;
   WritePending = true;
   cluster::GroupRecord record{.Epoch = epoch, .Primary = primaries.front()};
   Cluster->change({{groupKey(group), cluster::encodeRecord(record), 0, false}},
