Count a request as cut only if its node was not being killed

Cause: the check is wrong. The script records the kill of a node, then kills it; the checker took the record for the moment of death. In the failing run the kill was recorded at 2103.482896 s. The request was sent to that node at 2103.485234 s and broke at 2103.498952 s. The server saw the connections of the node close 14.006 ms after the record, at 2103.496902 s, so the node was killed while the request was under way.

Change: the script records as well when the killed process is gone. A request is explained if it was under way at any time between the two records. One that was sent later, or received before the kill, still counts. Without the second record the check is as before.

Result: the new case of CheckerTest failed before ("1 == 0") and passes; it also has a request that is sent after the exit, and another node's exit, both of which still count.

--- a/scripts/lib/operations_stops.py
+++ b/scripts/lib/operations_stops.py
@@ -233,6 +233,7 @@
     killed_us = monotonic_us()
     cluster.faults.add("kill", target=owner.endpoint("callers"))
     cluster.processes.kill(owner.id)
+    cluster.faults.add("exit", target=owner.endpoint("callers"))
     bound_us = IDLE_TIMEOUT_US + DETECTION_US
     # Observed for longer than the bound, so that a late end is seen as such.
     deadline = time.monotonic() + 2 * bound_us / 1e6
--- a/standins/check/CheckerTest.cpp
+++ b/standins/check/CheckerTest.cpp
@@ -333,6 +333,19 @@
     story.Given.Faults.push_back({1605 * Ms, "kill", "", "n1"});
     CHECK(story.run().CutInFlight == 0);
   }
+  SUBCASE("a request sent after the kill was recorded, before it took effect") {
+    HistoryRecord broken = read("GET k", "", 1600);
+    broken.Transfer = "broken";
+    broken.Outcome = "";
+    story.add(broken);
+    story.Given.Faults.push_back({1598 * Ms, "kill", "", "n1"});
+    story.Given.Faults.push_back({1601 * Ms, "exit", "", "n2"});
+    CHECK(story.run().CutInFlight == 1);
+    story.Given.Faults.push_back({1599 * Ms, "exit", "", "n1"});
+    CHECK(story.run().CutInFlight == 1);
+    story.Given.Faults.back().AtUs = 1602 * Ms;
+    CHECK(story.run().CutInFlight == 0);
+  }
 }
 
 TEST_CASE("logs as the servers print them") {
--- a/standins/history/FaultRecord.h
+++ b/standins/history/FaultRecord.h
@@ -14,7 +14,8 @@
 ///
 /// event: "start" (the workload begins; earlier promotions are the bootstrap),
 /// "cut" and "heal" (a server's links), "kill" (a node died without notice),
-/// "stop" (a planned stop was requested), "exit" (a stopped node is gone).
+/// "stop" (a planned stop was requested), "exit" (a stopped or killed node is
+/// gone).
 struct FaultRecord {
   MonotonicUs AtUs = 0;
   std::string Event;
