Take only the exit that follows a kill for the end of that kill

Cause: the checker took any later exit of the node for the end of a kill. If a kill has no exit record and the node runs again and is planned to stop, each request that broke in between would have been explained. Change: the exit counts only if it is the node's next record after the kill. Result: the new check in CheckerTest failed before ("0 == 1") and passes now.

--- a/standins/check/AvailabilityChecks.cpp
+++ b/standins/check/AvailabilityChecks.cpp
@@ -1,6 +1,7 @@
 #include "standins/check/Checker.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace standins::check::internal {
 
@@ -86,17 +87,18 @@
 }
 
 /// Whether the node was killed without notice while the attempt was under way.
-/// A kill takes effect at some time after its record, at the latest when the
-/// node is recorded as gone.
+/// A kill takes effect at some time after its record, at the latest at the exit
+/// if that is the next record of the node.
 bool wasKilled(const Case &it, const HistoryRecord &record) {
   const auto &faults = it.Given.Faults;
   for (auto kill = faults.begin(); kill != faults.end(); ++kill) {
     if (kill->Event != "kill" || kill->Target != record.Node)
       continue;
-    auto exit = std::find_if(kill, faults.end(), [&](const FaultRecord &fault) {
-      return fault.Event == "exit" && fault.Target == record.Node;
-    });
-    MonotonicUs goneUs = exit == faults.end() ? kill->AtUs : exit->AtUs;
+    auto next = std::find_if(
+        std::next(kill), faults.end(),
+        [&](const FaultRecord &fault) { return fault.Target == record.Node; });
+    bool hasExit = next != faults.end() && next->Event == "exit";
+    MonotonicUs goneUs = hasExit ? next->AtUs : kill->AtUs;
     if (record.SentUs <= goneUs && kill->AtUs <= record.ReceivedUs)
       return true;
   }
--- a/standins/check/CheckerTest.cpp
+++ b/standins/check/CheckerTest.cpp
@@ -345,6 +345,10 @@
     CHECK(story.run().CutInFlight == 1);
     story.Given.Faults.back().AtUs = 1602 * Ms;
     CHECK(story.run().CutInFlight == 0);
+    // The node runs again and is stopped, so the exit is not that of the kill.
+    story.Given.Faults.back().Event = "stop";
+    story.Given.Faults.push_back({1603 * Ms, "exit", "", "n1"});
+    CHECK(story.run().CutInFlight == 1);
   }
 }
 
