review: case 2, commits come back after reads were served without them

The zone of the primary is cut off, then that of its successor. The first primary, which was never rolled back, is promoted as the only candidate, and its commits come back.

--- a/review/5/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A server that leaves is promoted and used for longer than DrainMs.
+# Commits that were gone when reads were served come back (STALE).
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run.
 cd "$(dirname "$0")"
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=../standin exec timeout -k 2 115 python3 case.py
--- a/review/standin/database.py
+++ b/review/standin/database.py
@@ -308,7 +308,7 @@
             return self._fail("READONLY")
         lines = []
         if verb == "READ":
-            run["log"] = server.position()
+            run["log"] = (server.log, len(server.log))
             lines.append("DATAROW " + server.read(rest.split(" ")[0]))
         elif verb == "WRITE":
             item, _, data = rest.partition(" ")
