Answer every statement that a stopping node has accepted

Cause: drainTick() asked a session to close only if it was between two statements at a tick, and aborted a transaction only then. A session that has a statement in progress at each tick went on until the process exited, and the exit cut off what it had just begun. Statements that other nodes relay to the node were neither refused nor waited for.

Change: in the last 1.4 s of the grace period, statements outside of a transaction are refused with BUSY at once, and the session is asked to close after each reply. In the second half of the grace period, no transaction begins and an open one is aborted when its statement ends. Relayed statements are treated alike, and the drain waits for them. What is left at the end of the drain is answered with what is known of it.

--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -33,8 +33,9 @@
 /// A client that has been idle for this long is unlikely to send a request at
 /// the moment at which it is asked to close its session.
 constexpr milliseconds CloseRequestIdleTime{250};
-/// New sessions are refused during this last part of the grace period.
-constexpr milliseconds OpeningRefusalMargin{1400};
+/// New sessions and statements are refused during this last part of the grace
+/// period. It leaves the statements that were accepted before it time to end.
+constexpr milliseconds WorkRefusalMargin{1400};
 /// Time reserved for the process to exit before the platform kills it.
 constexpr milliseconds StopMargin{600};
 
@@ -106,10 +107,6 @@
     auto session = std::make_shared<Session>(*Context, fd);
     Sessions.emplace(session.get(), session);
     session->start();
-    auto now = base::BootClock::now();
-    if (Draining &&
-        now - DrainStarted > Settings.StopGrace - OpeningRefusalMargin)
-      session->refuseOpening();
   }));
   Ticker = loop.runEvery(TickPeriod, [this] { tick(); });
   IdleTransactionTimer = loop.runEvery(IdleTransactionCheckPeriod, [this] {
@@ -322,20 +319,28 @@
 void FrontendService::drainTick() {
   auto elapsed = base::BootClock::now() - DrainStarted;
   auto sessions = Sessions;
-  if (elapsed >= Settings.StopGrace / 2) {
+  StopProgress &stop = Context->Stop;
+  stop.EndsTransactions = elapsed >= Settings.StopGrace / 2;
+  stop.RefusesWork = elapsed >= Settings.StopGrace - WorkRefusalMargin;
+  if (stop.EndsTransactions) {
     for (const auto &[raw, it] : sessions)
       it->abortTransaction("node stops");
   }
-  if (elapsed >= NewConnectionsStopAfter)
+  if (stop.RefusesWork)
+    Relay->refuseWork();
+  if (stop.RefusesWork || elapsed >= NewConnectionsStopAfter)
     requestCloseOfIdleSessions(
-        elapsed < Settings.StopGrace - OpeningRefusalMargin
-            ? std::chrono::nanoseconds(CloseRequestIdleTime)
-            : std::chrono::nanoseconds(0));
+        stop.RefusesWork ? std::chrono::nanoseconds(0)
+                         : std::chrono::nanoseconds(CloseRequestIdleTime));
   bool timeIsUp = elapsed >= Settings.StopGrace - StopMargin;
-  bool empty = Sessions.empty() && Relay->openTransactions() == 0 &&
-               elapsed >= NewConnectionsStopAfter;
+  bool empty =
+      Sessions.empty() && Relay->isIdle() && elapsed >= NewConnectionsStopAfter;
   if (!timeIsUp && !empty)
     return;
+  // The end of the process would cut these statements off.
+  for (const auto &[raw, it] : sessions)
+    it->answerNow();
+  Relay->answerNow();
   Log.line("drained")
       .add("sessions", static_cast<std::int64_t>(Sessions.size()))
       .add("elapsed_ms", elapsed);
--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -1,5 +1,6 @@
 #include "baobabpin/frontend/RelayServer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace baobabpin::frontend {
@@ -60,7 +61,13 @@
     });
   }
 
-  std::size_t openTransactions() const { return Transactions.size(); }
+  bool isIdle() const { return Runs.empty() && Transactions.empty(); }
+
+  void answerNow() {
+    auto runs = Runs;
+    for (const auto &[sequence, it] : runs)
+      it->giveUp("node_stops");
+  }
 
 private:
   struct Transaction {
@@ -120,6 +127,10 @@
       refuse(request, sql::ErrorCode::Busy, "unknown group");
       return;
     }
+    if (Owner.RefusesWork && request.Transaction == 0) {
+      refuse(request, sql::ErrorCode::Busy, "node_stops");
+      return;
+    }
     RunRequest run = toRunRequest(request);
     if (request.Transaction != 0) {
       auto it = Transactions.find(request.Transaction);
@@ -243,11 +254,20 @@
     it->abortIdleTransactions(now, limit);
 }
 
-std::size_t RelayServer::openTransactions() const {
-  std::size_t n = 0;
-  for (const auto &[raw, it] : PeerConnections)
-    n += it->openTransactions();
-  return n;
+void RelayServer::refuseWork() {
+  RefusesWork = true;
+  abortIdleTransactions(base::BootClock::now(), {});
+}
+
+void RelayServer::answerNow() {
+  auto connections = PeerConnections;
+  for (const auto &[raw, it] : connections)
+    it->answerNow();
+}
+
+bool RelayServer::isIdle() const {
+  return std::ranges::all_of(
+      PeerConnections, [](const auto &it) { return it.second->isIdle(); });
 }
 
 } // namespace baobabpin::frontend
--- a/baobabpin/frontend/RelayServer.h
+++ b/baobabpin/frontend/RelayServer.h
@@ -27,10 +27,16 @@
   /// Marks each reply from now on as sent by a draining node, so that other
   /// nodes send new statements to the next owner candidate.
   void setDraining() { Leaving = true; }
+  /// Refuses new statements and rolls back transactions that run no statement,
+  /// because the node is about to stop.
+  void refuseWork();
+  /// Answers all statements in progress with what is known of their outcome.
+  void answerNow();
   /// Rolls back transactions without a statement for \p limit.
   void abortIdleTransactions(base::BootTime now,
                              std::chrono::nanoseconds limit);
-  std::size_t openTransactions() const;
+  /// Whether no statement and no transaction is in progress.
+  bool isIdle() const;
 
 private:
   class PeerConnection;
@@ -40,6 +46,7 @@
   GroupFinder FindGroup;
   net::Listener Socket;
   bool Leaving = false;
+  bool RefusesWork = false;
   std::map<PeerConnection *, std::shared_ptr<PeerConnection>> PeerConnections;
 };
 
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -20,6 +20,12 @@
 constexpr milliseconds ConfigurationWaitLimit{1500};
 constexpr milliseconds ConfigurationRetryDelay{50};
 
+/// Whether a statement outside of a transaction is sent to a server.
+bool runsAtServer(const sql::Statement &it) {
+  return it.Kind == Verb::Read || it.Kind == Verb::Write ||
+         it.Kind == Verb::Execute;
+}
+
 } // namespace
 
 Session::Session(SessionContext &context, int fd) : Context(context), Fd(fd) {}
@@ -103,7 +109,7 @@
                                       });
     return;
   }
-  if (Refusing) {
+  if (Context.Stop.RefusesWork) {
     refuseOpen(ErrorCode::Busy, "node_stops");
     return;
   }
@@ -175,11 +181,25 @@
     onFailedTransaction(*statement);
     return;
   }
-  if (answerLocally(*statement))
+  if (refuseWhileStopping(*statement) || answerLocally(*statement))
     return;
   execute(query.Id, std::move(*statement));
 }
 
+bool Session::refuseWhileStopping(const sql::Statement &it) {
+  if (Transaction)
+    return false;
+  bool begins = it.Kind == Verb::Begin || it.Kind == Verb::BeginReadOnly;
+  bool refused = begins
+                     ? Context.Stop.EndsTransactions || Context.Stop.RefusesWork
+                     : Context.Stop.RefusesWork && runsAtServer(it);
+  if (!refused)
+    return false;
+  replyError(ErrorCode::Busy, "node_stops");
+  requestCloseIfIdle(base::BootClock::now(), {});
+  return true;
+}
+
 void Session::onFailedTransaction(const sql::Statement &it) {
   switch (it.Kind) {
   case Verb::Rollback:
@@ -328,6 +348,12 @@
     }
   }
   reply(result.Reply);
+  if (Context.Stop.EndsTransactions)
+    abortTransaction("node stops");
+  // A session that is never idle when the node looks for idle ones would go on
+  // until the process exits.
+  if (Context.Stop.RefusesWork)
+    requestCloseIfIdle(now, {});
   processNext();
 }
 
@@ -385,6 +411,11 @@
   Connection->send(platform::formatError(ErrorCode::Busy, "node stops"));
 }
 
+void Session::answerNow() {
+  if (auto run = Run)
+    run->giveUp("node_stops");
+}
+
 void Session::shutDown() {
   if (Ended)
     return;
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -21,6 +21,15 @@
 class Session;
 using SessionPtr = std::shared_ptr<Session>;
 
+/// What a stopping node no longer does for its clients.
+struct StopProgress {
+  /// Open transactions are aborted between two statements, and none begins.
+  bool EndsTransactions = false;
+  /// Statements outside of a transaction, and new sessions, are refused. What
+  /// was accepted earlier is completed.
+  bool RefusesWork = false;
+};
+
 /// What a session needs from the node.
 struct SessionContext {
   kernel::EventLoop &Loop;
@@ -33,6 +42,7 @@
                      std::chrono::nanoseconds)>
       OnStatement;
   std::function<void(Session *)> OnEnded;
+  StopProgress Stop = {};
 };
 
 class Session : public std::enable_shared_from_this<Session> {
@@ -46,12 +56,13 @@
   /// Asks the client to close the session if the client has been idle for at
   /// least \p idle and no statement or transaction is in progress.
   void requestCloseIfIdle(base::BootTime now, std::chrono::nanoseconds idle);
-  /// Makes the session fail when the client opens it by naming its database.
-  void refuseOpening() { Refusing = true; }
   /// Aborts an open transaction between two statements. The client gets the
   /// error with its next statement; the error tells it that the transaction had
   /// no effect.
   void abortTransaction(std::string_view reason);
+  /// Answers the statement in progress, if there is one, with what is known of
+  /// its outcome: it was not sent to a server, or its reply has not arrived.
+  void answerNow();
   /// Sends the replies that are already written, cancels a statement in
   /// progress, and closes the session.
   void shutDown();
@@ -78,6 +89,9 @@
   void refuseOpen(sql::ErrorCode code, std::string_view reason);
   void onQuery(const platform::ClientQuery &query);
   void onFailedTransaction(const sql::Statement &it);
+  /// Refuses a statement that the stopping node does not begin any more.
+  /// Returns false if the statement is to be handled.
+  bool refuseWhileStopping(const sql::Statement &it);
   bool answerLocally(const sql::Statement &it);
   void execute(const std::string &id, sql::Statement it);
   void onRunDone(const cluster::Route &route, sql::Verb verb, bool writes,
@@ -103,7 +117,6 @@
   std::shared_ptr<net::LineConnection> Connection;
   std::string Database;
   bool Opened = false;
-  bool Refusing = false;
   /// The client was asked to close the session. Its next statement is not run
   /// and resets this flag; other messages are ignored.
   bool CloseRequested = false;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -561,14 +561,18 @@
 }
 
 void StatementRun::onDeadline() {
-  if (!OnDone)
-    return;
+  if (!Sent)
+    giveUp(Waiter ? "no_connection" : "no_primary");
+  else
+    giveUp("time_limit");
+}
+
+void StatementRun::giveUp(std::string_view reason) {
   if (!Sent) {
-    finish(ErrorCode::Busy, Waiter ? "no_connection" : "no_primary");
+    finish(ErrorCode::Busy, reason);
     return;
   }
-  finish(Request.Writes ? ErrorCode::InDoubt : ErrorCode::TimedOut,
-         "time_limit");
+  finish(Request.Writes ? ErrorCode::InDoubt : ErrorCode::TimedOut, reason);
 }
 
 void StatementRun::releaseConnection() {
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -30,6 +30,9 @@
   /// Gives the statement up without calling back, because its result is no
   /// longer needed.
   void cancel();
+  /// Ends the statement with the result that is true now: it did not run if it
+  /// was not sent to a server, and is in doubt or timed out otherwise.
+  void giveUp(std::string_view reason);
 
 private:
   /// Chooses a server for the statement, again after each failed attempt.
