Promote only a server that has every acknowledged commit

Cause: SyncReplicas was not read from the configuration, and the choice of a new primary compared only the servers that had replied to STATUS within 250 ms. The replica with all commits was busy and answered BUSY; the other one, which had received nothing for two seconds, was the only candidate.

Change: the configuration of a group has SyncReplicas. With it, a server is promoted only if it has the whole log of the old primary, or if fewer than SyncReplicas replicas are unheard and it has received the most of the others. Replicas whose run ended not long before the failover count as unheard. Until then the servers are asked again; "move_waits" reports it. An operator who gives the commits up sets SyncReplicas to 0.

Why it is enough: when the servers are asked, no node uses the old primary any more, so each commit that a client was told of is on SyncReplicas replicas already.

--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace baobabpin::cluster {
 
@@ -83,19 +84,60 @@
                                       : FailoverVerdict::DeferToOther;
 }
 
+namespace {
+
+/// Whether an earlier attempt of the failover has promoted the server.
+bool leadsLaterTerm(const Candidate &it, const PromotionContext &context) {
+  return !it.IsCurrentPrimary &&
+         isLeading(it.Status, context.RecordTerm, false);
+}
+
+/// Whether the server holds commits that an earlier promotion discarded.
+bool isDivergent(const Candidate &it, const PromotionContext &context) {
+  return it.Status.Received.Term < context.RecordTerm &&
+         it.Status.Received > context.RecordStart;
+}
+
+/// Whether the server has every acknowledged commit. A server that an earlier
+/// attempt has promoted had them when it was chosen.
+bool hasAcknowledgedCommits(const Candidate &it,
+                            const std::vector<Candidate> &candidates,
+                            const PromotionContext &context) {
+  if (context.SyncReplicas <= 0 || it.IsCurrentPrimary ||
+      leadsLaterTerm(it, context))
+    return true;
+  auto isBehind = [&](const Candidate &other) {
+    return !isDivergent(other, context) &&
+           it.Status.Received < other.Status.Received;
+  };
+  auto current = std::ranges::find_if(candidates, &Candidate::IsCurrentPrimary);
+  if (current != candidates.end() && !isBehind(*current))
+    return true;
+  bool isEachCommitHeard =
+      std::cmp_less(context.UnheardReplicas, context.SyncReplicas);
+  return isEachCommitHeard &&
+         std::ranges::none_of(candidates, [&](const Candidate &other) {
+           return !other.IsCurrentPrimary && isBehind(other);
+         });
+}
+
+} // namespace
+
 std::optional<Candidate> choosePrimary(const std::vector<Candidate> &candidates,
-                                       base::TermNumber recordTerm,
-                                       base::LogPosition recordStart) {
+                                       const PromotionContext &context) {
+  std::vector<Candidate> eligible;
+  for (const auto &it : candidates) {
+    if (hasAcknowledgedCommits(it, candidates, context))
+      eligible.push_back(it);
+  }
   auto rank = [&](const Candidate &it) {
-    bool leads =
-        !it.IsCurrentPrimary && isLeading(it.Status, recordTerm, false);
-    bool divergent = it.Status.Received.Term < recordTerm &&
-                     it.Status.Received > recordStart;
-    return std::tuple(leads, leads ? it.Status.Term : 0, !divergent,
-                      !it.Leaving, !it.IsCurrentPrimary, it.Status.Received);
+    bool leads = leadsLaterTerm(it, context);
+    return std::tuple(leads, leads ? it.Status.Term : 0,
+                      !isDivergent(it, context), !it.Leaving,
+                      !it.IsCurrentPrimary, it.Status.Received);
   };
-  auto best = std::ranges::max_element(candidates, {}, rank);
-  return best == candidates.end() ? std::nullopt : std::optional(*best);
+  auto best = std::ranges::max_element(eligible, {}, rank);
+  return best == eligible.end() ? std::nullopt : std::optional(*best);
 }
 
 std::optional<Candidate> findLeader(const std::vector<Candidate> &replies,
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -100,23 +100,39 @@
   bool IsCurrentPrimary = false;
 };
 
-/// Returns the best candidate for promotion, or nothing if there is no
-/// candidate. A server that already leads a later term comes first, then
+/// What is known of the group whose primary is replaced.
+struct PromotionContext {
+  /// The term of that primary. A server that leads a later term was promoted by
+  /// an earlier attempt of the same failover. A server that reports to lead an
+  /// earlier term has missed a promotion.
+  base::TermNumber RecordTerm = 0;
+  /// The end of that primary's log when it began to lead. A server with later
+  /// entries of an earlier term still holds commits that the promotion
+  /// discarded.
+  base::LogPosition RecordStart = {};
+  /// The number of replicas that have received a commit before it is
+  /// acknowledged.
+  int SyncReplicas = 0;
+  /// The number of replicas that are no candidates because their status is not
+  /// known. They may hold commits that no candidate has.
+  std::size_t UnheardReplicas = 0;
+};
+
+/// Returns the best candidate for promotion, or nothing if there is none that
+/// may lead. A server that already leads a later term comes first, then
 /// servers without discarded commits, then those that are not leaving, then
 /// those other than the current primary. Among equals, the one that has
 /// received the most wins, so that the fewest commits are lost.
 ///
-/// \p recordTerm is the term of the primary that is replaced. A server that
-/// leads a later term was promoted by an earlier attempt of the same failover.
-/// A server that reports to lead an earlier term has missed a promotion.
+/// A server with discarded commits is avoided: reads have been served without
+/// those commits, so they must not reappear.
 ///
-/// \p recordStart is the end of that primary's log when it began to lead. A
-/// server with later entries of an earlier term still holds commits that the
-/// promotion discarded. Such a server is avoided: reads have been served
-/// without those commits, so they must not reappear.
+/// With SyncReplicas, only a server may lead that has every acknowledged
+/// commit: the current primary itself, a server that has received its whole
+/// log, or the one that has received the most of all replicas, if so few are
+/// unheard that each acknowledged commit is on one of the others.
 std::optional<Candidate> choosePrimary(const std::vector<Candidate> &candidates,
-                                       base::TermNumber recordTerm,
-                                       base::LogPosition recordStart);
+                                       const PromotionContext &context);
 
 /// Returns the server that leads the group according to the status of its
 /// servers. Returns nothing unless that is certain: all \p asked servers have
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -105,20 +105,21 @@
   SUBCASE("the server that has received the most is chosen") {
     auto it = choosePrimary({candidate("a", Replica, 3, {3, 8}),
                              candidate("b", Replica, 3, {3, 9})},
-                            3, {});
+                            {.RecordTerm = 3});
     CHECK(it->Server == "b");
   }
   SUBCASE("a leaving server is chosen only if there is no other") {
     auto leaving = candidate("b", Replica, 3, {3, 9});
     leaving.Leaving = true;
-    CHECK(choosePrimary({candidate("a", Replica, 3, {3, 8}), leaving}, 3, {})
+    CHECK(choosePrimary({candidate("a", Replica, 3, {3, 8}), leaving},
+                        {.RecordTerm = 3})
               ->Server == "a");
-    CHECK(choosePrimary({leaving}, 3, {})->Server == "b");
+    CHECK(choosePrimary({leaving}, {.RecordTerm = 3})->Server == "b");
   }
   SUBCASE("the server that an earlier attempt promoted is chosen") {
     auto it = choosePrimary({candidate("a", Replica, 3, {3, 9}),
                              candidate("b", Primary, 4, {3, 8})},
-                            3, {});
+                            {.RecordTerm = 3});
     CHECK(it->Server == "b");
   }
   SUBCASE("a server that reports to lead an old term is not preferred") {
@@ -126,7 +127,7 @@
     // down, still reports to be primary.
     auto it = choosePrimary({candidate("a", Replica, 5, {5, 9}),
                              candidate("b", Primary, 4, {4, 30})},
-                            5, {});
+                            {.RecordTerm = 5});
     CHECK(it->Server == "a");
   }
 }
@@ -140,13 +141,57 @@
   auto current = candidate("b", Replica, 2, {1, 546});
   current.IsCurrentPrimary = true;
   auto old = candidate("a", Replica, 2, {1, 628});
-  base::LogPosition kept{1, 546};
-  CHECK(choosePrimary({old, current}, 2, kept)->Server == "b");
+  PromotionContext kept{.RecordTerm = 2, .RecordStart = {1, 546}};
+  CHECK(choosePrimary({old, current}, kept)->Server == "b");
   auto rolledBack = candidate("a", Replica, 2, {1, 546});
-  CHECK(choosePrimary({rolledBack, current}, 2, kept)->Server == "a");
+  CHECK(choosePrimary({rolledBack, current}, kept)->Server == "a");
   // Entries of the current term are newer; they were not discarded.
   auto ahead = candidate("a", Replica, 2, {2, 550});
-  CHECK(choosePrimary({ahead, current}, 2, kept)->Server == "a");
+  CHECK(choosePrimary({ahead, current}, kept)->Server == "a");
+}
+
+TEST_CASE("with SyncReplicas only a server with all acknowledged commits may "
+          "lead") {
+  // Guards against the promotion of a replica that lacks acknowledged commits
+  // while the one that has them does not reply (review case 1).
+  using enum sql::ServerRole;
+  auto current = candidate("p", Replica, 3, {3, 20});
+  current.IsCurrentPrimary = true;
+  auto behind = candidate("a", Replica, 3, {3, 8});
+  auto ahead = candidate("b", Replica, 3, {3, 19});
+  PromotionContext context{.RecordTerm = 3, .SyncReplicas = 1};
+
+  SUBCASE("a replica is chosen only when all replicas have replied") {
+    CHECK(choosePrimary({behind, ahead}, context)->Server == "b");
+    context.UnheardReplicas = 1;
+    CHECK_FALSE(choosePrimary({behind}, context));
+    CHECK_FALSE(choosePrimary({ahead}, context));
+    context.SyncReplicas = 2;
+    CHECK(choosePrimary({ahead}, context)->Server == "b");
+  }
+  SUBCASE("a replica with the whole log of the old primary is chosen") {
+    context.UnheardReplicas = 1;
+    CHECK(choosePrimary({current, behind}, context)->Server == "p");
+    ahead.Status.Received = {3, 20};
+    CHECK(choosePrimary({current, ahead}, context)->Server == "b");
+  }
+  SUBCASE("the end of the old primary's log need not be acknowledged") {
+    CHECK(choosePrimary({current, behind, ahead}, context)->Server == "b");
+  }
+  SUBCASE("a leaving replica with the most commits goes first") {
+    ahead.Leaving = true;
+    CHECK(choosePrimary({behind, ahead}, context)->Server == "b");
+  }
+  SUBCASE("a server that an earlier attempt promoted is chosen") {
+    context.UnheardReplicas = 1;
+    auto promoted = candidate("a", Primary, 4, {3, 8});
+    CHECK(choosePrimary({promoted}, context)->Server == "a");
+  }
+  SUBCASE("a server with discarded commits does not count") {
+    context.RecordStart = {2, 5};
+    auto divergent = candidate("c", Replica, 3, {2, 9});
+    CHECK(choosePrimary({divergent, ahead}, context)->Server == "b");
+  }
 }
 
 TEST_CASE("a promoted server leads only once it reports a later term") {
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -45,6 +45,9 @@
   base::GroupName Name;
   /// The number of connections that one server accepts from all nodes together.
   int MaxConnections = 16;
+  /// The number of replicas that have received a commit before the primary
+  /// acknowledges it.
+  int SyncReplicas = 0;
 };
 
 /// The configuration that an operator has put in force.
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -13,6 +13,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds TickPeriod{50};
+/// The other replicas have received what a replica had within this time after
+/// the end of its run, as long as the primary leads.
+constexpr std::chrono::seconds ReplicaCatchUpLimit{30};
 /// A view older than this is renewed from the usual sync source. Several
 /// renewals fit into the lease.
 constexpr milliseconds RenewAge{250};
@@ -232,6 +235,12 @@
   }
 }
 
+std::size_t ClusterService::countLostReplicas(const base::GroupName &group,
+                                              const base::ServerId &primary,
+                                              base::BootTime since) const {
+  return Directory.countLostRuns(group, primary, since - ReplicaCatchUpLimit);
+}
+
 bool ClusterService::mayHaveFormerNodes() const {
   return base::BootClock::now() < FormerNodesUntil;
 }
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -121,7 +121,13 @@
                    const std::vector<base::ServerId> &ids,
                    void (FailoverService::*next)(const FailoverPtr &));
   void queryCandidates(const FailoverPtr &failover);
+  /// Returns what the choice of the new primary depends on, beside the
+  /// candidates.
+  cluster::PromotionContext promotionContext(const FailoverPtr &failover) const;
   void choose(const FailoverPtr &failover);
+  /// Asks the servers again, because none may be promoted yet.
+  void waitForCandidate(const FailoverPtr &failover,
+                        const cluster::PromotionContext &context);
   void promote(const FailoverPtr &failover);
   void waitForPromotion(const FailoverPtr &failover);
   void writeResult(const FailoverPtr &failover);
--- a/baobabpin/control/FailoverSteps.cpp
+++ b/baobabpin/control/FailoverSteps.cpp
@@ -23,6 +23,8 @@
 /// The time for which a failover waits for the chosen replica to receive the
 /// whole log of the old primary, when the end of that log is known.
 constexpr milliseconds CatchUpLimit{400};
+/// The time between two log lines about a failover that waits for servers.
+constexpr milliseconds WaitLogPeriod{1000};
 /// A promotion takes effect within this time after the platform accepted it.
 constexpr milliseconds PromotionSettleTime{1000};
 /// The time for which a verification waits for all servers to agree which one
@@ -296,19 +298,58 @@
   }
 }
 
+cluster::PromotionContext
+FailoverService::promotionContext(const FailoverPtr &failover) const {
+  cluster::PromotionContext context{.RecordTerm = failover->Record.Term,
+                                    .RecordStart =
+                                        failover->Record.StartPosition};
+  const auto *config = Cluster->configuration();
+  if (config && config->Groups.contains(failover->Group))
+    context.SyncReplicas = config->Groups.at(failover->Group).SyncReplicas;
+  const base::ServerId &primary = failover->Record.Primary;
+  for (const auto &[id, server] : Cluster->servers()) {
+    bool heard = std::ranges::any_of(
+        failover->Candidates, [&](const auto &it) { return it.Server == id; });
+    if (server.Group == failover->Group && id != primary && !heard)
+      ++context.UnheardReplicas;
+  }
+  context.UnheardReplicas +=
+      Cluster->countLostReplicas(failover->Group, primary, failover->StartedAt);
+  return context;
+}
+
+void FailoverService::waitForCandidate(
+    const FailoverPtr &failover, const cluster::PromotionContext &context) {
+  auto now = base::BootClock::now();
+  if (now - failover->WaitLoggedAt > WaitLogPeriod) {
+    failover->WaitLoggedAt = now;
+    Log.line("move_waits")
+        .add("group", failover->Group)
+        .add("candidates",
+             static_cast<std::int64_t>(failover->Candidates.size()))
+        .add("unheard_replicas",
+             static_cast<std::int64_t>(context.UnheardReplicas))
+        .add("sync_replicas", context.SyncReplicas)
+        .add("elapsed_ms", now - failover->StartedAt);
+  }
+  scheduleStep(failover, StepRetry, &FailoverService::stepDown);
+}
+
 void FailoverService::choose(const FailoverPtr &failover) {
   failover->RefusedTargets.clear();
-  auto best =
-      cluster::choosePrimary(failover->Candidates, failover->Record.Term,
-                             failover->Record.StartPosition);
+  auto context = promotionContext(failover);
+  auto best = cluster::choosePrimary(failover->Candidates, context);
   if (!best) {
-    scheduleStep(failover, StepRetry, &FailoverService::stepDown);
+    waitForCandidate(failover, context);
     return;
   }
   bool behind = failover->OldStatus && !best->IsCurrentPrimary &&
                 best->Status.Role == sql::ServerRole::Replica &&
                 best->Status.Received < failover->OldStatus->Received;
-  if (behind &&
+  // A replica that is not allowed to lead now may receive what it lacks.
+  bool noReplicaYet = best->IsCurrentPrimary && context.SyncReplicas > 0 &&
+                      failover->Candidates.size() > 1;
+  if ((behind || noReplicaYet) &&
       base::BootClock::now() - failover->ChoosingSince < CatchUpLimit) {
     scheduleStep(failover, milliseconds(15), &FailoverService::queryCandidates);
     return;
--- a/baobabpin/control/internal/Failover.h
+++ b/baobabpin/control/internal/Failover.h
@@ -38,6 +38,8 @@
   std::vector<cluster::Candidate> Candidates;
   std::size_t QueriesSent = 0;
   std::size_t QueriesOutstanding = 0;
+  /// When the reason for which no server may be promoted was last logged.
+  base::BootTime WaitLoggedAt{};
   base::ServerId Target;
   /// The end of Target's log before its promotion.
   base::LogPosition StartPosition;
