Never promote a server that holds discarded commits

Cause: choosePrimary() only preferred servers without commits that an earlier promotion had discarded. The old primary, which had been cut off and never rolled back, was the only server that replied and was promoted with its own log. On related paths: the record knew the beginning of its own term only, so that a server that had missed two promotions was not noticed; that beginning was taken before the promotion took effect; and a primary that was promoted again in its term replaced it.

Change: such a server may not lead before its log shows that it was rolled back, however few servers reply. The record keeps the beginnings of earlier terms; a server counts as divergent if the one after its last entry is not known. The beginning is read from the status with which the new primary reports to lead.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -13,12 +13,29 @@
 
 using nlohmann::json;
 
+json toJson(const std::vector<TermStart> &terms) {
+  json list = json::array();
+  for (const auto &it : terms)
+    list.push_back({it.Term, it.Position.Term, it.Position.Index});
+  return list;
+}
+
+std::vector<TermStart> termsFrom(const json &list) {
+  std::vector<TermStart> terms;
+  for (const json &it : list)
+    terms.push_back(
+        {it.at(0).get<base::TermNumber>(),
+         {it.at(1).get<base::TermNumber>(), it.at(2).get<base::LogIndex>()}});
+  return terms;
+}
+
 json toJson(const GroupRecord &it) {
   return {{"epoch", it.Epoch},
           {"primary", it.Primary},
           {"term", it.Term},
           {"base_term", it.StartPosition.Term},
           {"base_index", it.StartPosition.Index},
+          {"earlier_terms", toJson(it.EarlierTerms)},
           {"moving", it.FailoverInProgress},
           {"mover", it.Coordinator},
           {"token", it.Token}};
@@ -45,6 +62,8 @@
           .Term = it.at("term").get<base::TermNumber>(),
           .StartPosition = {it.at("base_term").get<base::TermNumber>(),
                             it.at("base_index").get<base::LogIndex>()},
+          // A program version without this field remembers no earlier term.
+          .EarlierTerms = termsFrom(it.value("earlier_terms", json::array())),
           .FailoverInProgress = it.at("moving").get<bool>(),
           .Coordinator = it.at("mover").get<std::string>(),
           .Token = it.at("token").get<std::uint64_t>()};
--- a/baobabpin/cluster/ClusterViewTest.cpp
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -29,6 +29,18 @@
   return view;
 }
 
+TEST_CASE("a group's record keeps the beginnings of its terms in the store") {
+  GroupRecord group{.Epoch = 3,
+                    .Primary = "s1",
+                    .Term = 7,
+                    .StartPosition = {5, 90},
+                    .EarlierTerms = {{2, {1, 40}}, {5, {2, 61}}}};
+  ClusterView view;
+  CHECK(applyEntry(view, "bp/", entry("group/g", encodeRecord(group), 4)));
+  CHECK(view.Groups["g"].Value == group);
+  CHECK(decodeView(encodeView(view)).Groups["g"].Value == group);
+}
+
 TEST_CASE(
     "checkPrimaryUse() requires a lease, a registration and no failover") {
   NodeIdentity self{"n1", 11};
--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -92,10 +92,19 @@
          isLeading(it.Status, context.RecordTerm, false);
 }
 
-/// Whether the server holds commits that an earlier promotion discarded.
+/// Whether the server holds, or may hold, commits that an earlier promotion
+/// discarded.
 bool isDivergent(const Candidate &it, const PromotionContext &context) {
-  return it.Status.Received.Term < context.RecordTerm &&
-         it.Status.Received > context.RecordStart;
+  base::LogPosition end = it.Status.Received;
+  if (it.IsCurrentPrimary || end.Term >= context.RecordTerm || end.Index == 0)
+    return false;
+  // The log of each later term begins with what the first of them kept.
+  auto next = std::ranges::find_if(context.Terms, [&](const TermStart &term) {
+    return term.Term > end.Term;
+  });
+  bool isKept = next != context.Terms.end() &&
+                next->Position.Term == end.Term && end <= next->Position;
+  return !isKept;
 }
 
 /// Whether the server has every acknowledged commit. A server that an earlier
@@ -127,13 +136,13 @@
                                        const PromotionContext &context) {
   std::vector<Candidate> eligible;
   for (const auto &it : candidates) {
-    if (hasAcknowledgedCommits(it, candidates, context))
+    bool mayLead = leadsLaterTerm(it, context) || !isDivergent(it, context);
+    if (mayLead && hasAcknowledgedCommits(it, candidates, context))
       eligible.push_back(it);
   }
   auto rank = [&](const Candidate &it) {
     bool leads = leadsLaterTerm(it, context);
-    return std::tuple(leads, leads ? it.Status.Term : 0,
-                      !isDivergent(it, context), !it.Leaving,
+    return std::tuple(leads, leads ? it.Status.Term : 0, !it.Leaving,
                       !it.IsCurrentPrimary, it.Status.Received);
   };
   auto best = std::ranges::max_element(eligible, {}, rank);
@@ -158,6 +167,33 @@
   return single ? std::optional(*leader) : std::nullopt;
 }
 
+std::vector<TermStart> knownTerms(const GroupRecord &record) {
+  auto terms = record.EarlierTerms;
+  terms.push_back({record.Term, record.StartPosition});
+  return terms;
+}
+
+void recordPrimary(GroupRecord &record, const base::ServerId &leader,
+                   base::TermNumber term, base::LogPosition start) {
+  ++record.Epoch;
+  record.Primary = leader;
+  record.FailoverInProgress = false;
+  record.Coordinator.clear();
+  if (term == record.Term)
+    return;
+  record.EarlierTerms = knownTerms(record);
+  if (record.EarlierTerms.size() > MaxEarlierTerms)
+    record.EarlierTerms.erase(record.EarlierTerms.begin());
+  record.Term = term;
+  record.StartPosition = start;
+}
+
+std::optional<base::LogPosition> startOfTerm(const sql::ServerStatus &leader) {
+  if (leader.Received.Term >= leader.Term)
+    return std::nullopt;
+  return leader.Received;
+}
+
 bool isLeading(const sql::ServerStatus &status, base::TermNumber recordTerm,
                bool isCurrentPrimary) {
   if (status.Role != sql::ServerRole::Primary)
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -8,6 +8,7 @@
 #include "baobabpin/base/BootClock.h"
 #include "baobabpin/base/Identifiers.h"
 #include "baobabpin/base/LogPosition.h"
+#include "baobabpin/cluster/Types.h"
 #include "baobabpin/sql/Statement.h"
 
 #include <chrono>
@@ -106,10 +107,10 @@
   /// an earlier attempt of the same failover. A server that reports to lead an
   /// earlier term has missed a promotion.
   base::TermNumber RecordTerm = 0;
-  /// The end of that primary's log when it began to lead. A server with later
-  /// entries of an earlier term still holds commits that the promotion
-  /// discarded.
-  base::LogPosition RecordStart = {};
+  /// The beginnings of that term and of earlier ones, in ascending order. A
+  /// server whose log ends after the beginning of a later term still holds
+  /// commits that a promotion discarded.
+  std::vector<TermStart> Terms = {};
   /// The number of replicas that have received a commit before it is
   /// acknowledged.
   int SyncReplicas = 0;
@@ -120,12 +121,14 @@
 
 /// Returns the best candidate for promotion, or nothing if there is none that
 /// may lead. A server that already leads a later term comes first, then
-/// servers without discarded commits, then those that are not leaving, then
-/// those other than the current primary. Among equals, the one that has
-/// received the most wins, so that the fewest commits are lost.
+/// servers that are not leaving, then those other than the current primary.
+/// Among equals, the one that has received the most wins, so that the fewest
+/// commits are lost.
 ///
-/// A server with discarded commits is avoided: reads have been served without
-/// those commits, so they must not reappear.
+/// A server with discarded commits may not lead until it has been rolled back,
+/// which happens when it reaches the primary: reads have been served without
+/// those commits, so they must not reappear. A server counts as one if the
+/// beginning of the term that followed its last entry is not known.
 ///
 /// With SyncReplicas, only a server may lead that has every acknowledged
 /// commit: the current primary itself, a server that has received its whole
@@ -143,6 +146,20 @@
                                     std::size_t asked,
                                     base::TermNumber knownTerm);
 
+/// Returns the beginnings of the record's term and of the earlier ones that it
+/// remembers, in ascending order.
+std::vector<TermStart> knownTerms(const GroupRecord &record);
+
+/// Makes \p leader, which leads in \p term, the primary of the record and ends
+/// the failover. \p start is the end of its log when it began to lead; it is
+/// ignored if the term is the one of the record.
+void recordPrimary(GroupRecord &record, const base::ServerId &leader,
+                   base::TermNumber term, base::LogPosition start);
+
+/// Returns the end of a leader's log when it began to lead, or nothing if the
+/// status does not show it, because the log has entries of the leader's term.
+std::optional<base::LogPosition> startOfTerm(const sql::ServerStatus &leader);
+
 /// Returns whether the promoted server leads already, given its reported
 /// status. A server that missed an earlier promotion reports to be the primary
 /// of an old term until the new term begins. \p recordTerm is the term of the
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -141,13 +141,78 @@
   auto current = candidate("b", Replica, 2, {1, 546});
   current.IsCurrentPrimary = true;
   auto old = candidate("a", Replica, 2, {1, 628});
-  PromotionContext kept{.RecordTerm = 2, .RecordStart = {1, 546}};
+  PromotionContext kept{.RecordTerm = 2, .Terms = {{2, {1, 546}}}};
   CHECK(choosePrimary({old, current}, kept)->Server == "b");
   auto rolledBack = candidate("a", Replica, 2, {1, 546});
   CHECK(choosePrimary({rolledBack, current}, kept)->Server == "a");
   // Entries of the current term are newer; they were not discarded.
   auto ahead = candidate("a", Replica, 2, {2, 550});
   CHECK(choosePrimary({ahead, current}, kept)->Server == "a");
+
+  SUBCASE("also if no other server is in reach") {
+    // Guards against commits that come back when the server that holds them is
+    // the only candidate (review case 2).
+    CHECK_FALSE(choosePrimary({old}, kept));
+    old.Status.Role = Primary;
+    old.Status.Term = 1;
+    CHECK_FALSE(choosePrimary({old}, kept));
+  }
+  SUBCASE("also after several promotions") {
+    kept = {.RecordTerm = 4,
+            .Terms = {{2, {1, 546}}, {3, {2, 560}}, {4, {2, 560}}}};
+    CHECK_FALSE(choosePrimary({old}, kept));
+    CHECK(choosePrimary({rolledBack}, kept)->Server == "a");
+    // It led the second term and missed the later ones.
+    auto second = candidate("c", Primary, 2, {2, 561});
+    CHECK_FALSE(choosePrimary({second}, kept));
+    second.Status.Received = {2, 560};
+    CHECK(choosePrimary({second}, kept)->Server == "c");
+  }
+  SUBCASE("also if it is not known where the following term began") {
+    kept = {.RecordTerm = 4, .Terms = {{4, {3, 560}}}};
+    CHECK_FALSE(choosePrimary({rolledBack}, kept));
+    kept = {.RecordTerm = 4, .Terms = {{4, {}}}};
+    CHECK_FALSE(choosePrimary({rolledBack}, kept));
+    // An empty log holds no commit.
+    CHECK(choosePrimary({candidate("d", Replica, 4, {1, 0})}, kept));
+  }
+  SUBCASE("the current primary leads with its own log") {
+    kept = {.RecordTerm = 2, .Terms = {{2, {1, 540}}}};
+    CHECK(choosePrimary({current}, kept)->Server == "b");
+  }
+}
+
+TEST_CASE("a record remembers where its terms began") {
+  GroupRecord record{.Epoch = 4,
+                     .Primary = "a",
+                     .Term = 2,
+                     .StartPosition = {1, 546},
+                     .FailoverInProgress = true,
+                     .Coordinator = "n1/5"};
+  recordPrimary(record, "b", 3, {2, 560});
+  CHECK(record.Epoch == 5);
+  CHECK(record.Primary == "b");
+  CHECK_FALSE(record.FailoverInProgress);
+  CHECK(record.Coordinator.empty());
+  CHECK(knownTerms(record) ==
+        std::vector<TermStart>{{2, {1, 546}}, {3, {2, 560}}});
+
+  SUBCASE("a primary that is promoted again in its term keeps its beginning") {
+    recordPrimary(record, "b", 3, {3, 600});
+    CHECK(record.StartPosition == base::LogPosition{2, 560});
+    CHECK(knownTerms(record).size() == 2);
+  }
+  SUBCASE("the number of terms is limited") {
+    for (base::TermNumber term = 4; term < 40; ++term)
+      recordPrimary(record, "a", term, {term - 1, 600 + term});
+    CHECK(record.EarlierTerms.size() == MaxEarlierTerms);
+    CHECK(knownTerms(record).back().Term == 39);
+  }
+  SUBCASE("the beginning shows only before the first commit of the term") {
+    CHECK(startOfTerm({sql::ServerRole::Primary, 3, {2, 560}}) ==
+          base::LogPosition{2, 560});
+    CHECK_FALSE(startOfTerm({sql::ServerRole::Primary, 3, {3, 561}}));
+  }
 }
 
 TEST_CASE("with SyncReplicas only a server with all acknowledged commits may "
@@ -188,7 +253,7 @@
     CHECK(choosePrimary({promoted}, context)->Server == "a");
   }
   SUBCASE("a server with discarded commits does not count") {
-    context.RecordStart = {2, 5};
+    context.Terms = {{3, {2, 5}}};
     auto divergent = candidate("c", Replica, 3, {2, 9});
     CHECK(choosePrimary({divergent, ahead}, context)->Server == "b");
   }
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -78,6 +78,19 @@
   bool operator==(const ServerRegistration &) const = default;
 };
 
+/// The beginning of a term.
+struct TermStart {
+  base::TermNumber Term = 0;
+  /// The end of the primary's log when it began to lead in Term. The promotion
+  /// discarded all later entries of earlier terms.
+  base::LogPosition Position;
+
+  bool operator==(const TermStart &) const = default;
+};
+
+/// The number of earlier terms that a record remembers.
+inline constexpr std::size_t MaxEarlierTerms = 8;
+
 /// The primary of a group on which all nodes agree. The record is kept in the
 /// store.
 struct GroupRecord {
@@ -89,6 +102,8 @@
   base::TermNumber Term = 0;
   /// The end of Primary's log when it began to lead.
   base::LogPosition StartPosition;
+  /// The terms before Term whose beginnings are known, in ascending order.
+  std::vector<TermStart> EarlierTerms;
   /// A failover to another primary is in progress. No node may use Primary.
   bool FailoverInProgress = false;
   /// The node that runs the failover, in the form "node/incarnation".
--- a/baobabpin/control/FailoverSteps.cpp
+++ b/baobabpin/control/FailoverSteps.cpp
@@ -217,12 +217,11 @@
   }
   failover->Target = leader->Server;
   failover->NewTerm = leader->Status.Term;
-  // Where the log ended when another term began is not known. With a position
-  // of zero, a server that is not in the new term counts as divergent.
-  bool sameTerm =
-      leader->Server == record.Primary && leader->Status.Term == record.Term;
+  // If the log has entries of another term, it is not known where it ended when
+  // that term began. With a position of zero, no server with entries of earlier
+  // terms only may lead.
   failover->StartPosition =
-      sameTerm ? record.StartPosition : base::LogPosition{};
+      cluster::startOfTerm(leader->Status).value_or(base::LogPosition{});
   logStage(failover, "verified");
   writeResult(failover);
 }
@@ -301,8 +300,8 @@
 cluster::PromotionContext
 FailoverService::promotionContext(const FailoverPtr &failover) const {
   cluster::PromotionContext context{.RecordTerm = failover->Record.Term,
-                                    .RecordStart =
-                                        failover->Record.StartPosition};
+                                    .Terms =
+                                        cluster::knownTerms(failover->Record)};
   const auto *config = Cluster->configuration();
   if (config && config->Groups.contains(failover->Group))
     context.SyncReplicas = config->Groups.at(failover->Group).SyncReplicas;
@@ -408,34 +407,33 @@
     stepDown(failover);
     return;
   }
-  Access.Query(failover->Target, platform::formatStatusQuery(), StatusTimeout,
-               [this, weak = std::weak_ptr<Failover>(failover)](
-                   const std::optional<sql::Reply> &reply) {
-                 FailoverPtr it = weak.lock();
-                 if (!it || !isCurrent(it))
-                   return;
-                 auto status = statusOf(reply);
-                 bool present = it->Target == it->Record.Primary;
-                 if (status &&
-                     cluster::isLeading(*status, it->Record.Term, present)) {
-                   logStage(it, "leads");
-                   it->NewTerm = status->Term;
-                   writeResult(it);
-                   return;
-                 }
-                 scheduleStep(it, PromotionPollPeriod,
-                              &FailoverService::waitForPromotion);
-               });
+  Access.Query(
+      failover->Target, platform::formatStatusQuery(), StatusTimeout,
+      [this, weak = std::weak_ptr<Failover>(failover)](
+          const std::optional<sql::Reply> &reply) {
+        FailoverPtr it = weak.lock();
+        if (!it || !isCurrent(it))
+          return;
+        auto status = statusOf(reply);
+        bool present = it->Target == it->Record.Primary;
+        if (status && cluster::isLeading(*status, it->Record.Term, present)) {
+          logStage(it, "leads");
+          it->NewTerm = status->Term;
+          // It may have received more since it was chosen.
+          it->StartPosition =
+              cluster::startOfTerm(*status).value_or(it->StartPosition);
+          writeResult(it);
+          return;
+        }
+        scheduleStep(it, PromotionPollPeriod,
+                     &FailoverService::waitForPromotion);
+      });
 }
 
 void FailoverService::writeResult(const FailoverPtr &failover) {
   cluster::GroupRecord record = failover->Record;
-  ++record.Epoch;
-  record.Primary = failover->Target;
-  record.Term = failover->NewTerm;
-  record.StartPosition = failover->StartPosition;
-  record.FailoverInProgress = false;
-  record.Coordinator.clear();
+  cluster::recordPrimary(record, failover->Target, failover->NewTerm,
+                         failover->StartPosition);
   auto revision = Cluster->view().Groups.at(failover->Group).Revision;
   Cluster->change(
       {{groupKey(failover->Group), cluster::encodeRecord(record), revision,
