Do not promote or use a server that has left

Cause: choosePrimary() only preferred servers that are not leaving, and GroupProxy::primary() used the primary of the record however long it had been leaving. As the promoted server was leaving too, the next failover began at once.

A leaving primary is used until 2.5 s before its end, within which every node has learned of the drain. A server is a candidate only if it serves for 2 s more; with SyncReplicas it may lead, without clients, to pass commits on that no other server has. A planned failover needs a server that can take over. The owner of a server's connections refuses reads for a leaving replica.

--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -140,6 +140,13 @@
     if (mayLead && hasAcknowledgedCommits(it, candidates, context))
       eligible.push_back(it);
   }
+  auto serving = eligible;
+  std::erase_if(serving, &Candidate::EndsSoon);
+  // Without SyncReplicas, each of the others that does not end soon may lead.
+  bool othersLackCommits =
+      serving.empty() && !std::ranges::all_of(candidates, &Candidate::EndsSoon);
+  if (!othersLackCommits || context.SyncReplicas == 0)
+    eligible = std::move(serving);
   auto rank = [&](const Candidate &it) {
     bool leads = leadsLaterTerm(it, context);
     return std::tuple(leads, leads ? it.Status.Term : 0, !it.Leaving,
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -38,7 +38,8 @@
 
 /// What this node itself has observed of a group's primary.
 struct PrimaryObservation {
-  /// The primary is draining, or its registration is missing.
+  /// The primary is leaving and is to be replaced now: another server can
+  /// replace it, or it may not be used any more.
   bool Leaving = false;
   /// The time since the primary's last reply. Empty if it never replied.
   std::optional<std::chrono::nanoseconds> PrimaryReplyAge;
@@ -96,8 +97,11 @@
   sql::ServerStatus Status;
   /// The server is draining, or its registration is missing.
   bool Leaving = false;
+  /// Clients' statements may not be sent to the server for long enough, because
+  /// it is leaving.
+  bool EndsSoon = false;
   /// The server is the current primary. It is chosen only if every other
-  /// candidate is leaving or still holds discarded commits.
+  /// candidate is leaving or may not lead.
   bool IsCurrentPrimary = false;
 };
 
@@ -130,6 +134,11 @@
 /// those commits, so they must not reappear. A server counts as one if the
 /// beginning of the term that followed its last entry is not known.
 ///
+/// A server that ends soon is not chosen. There is one exception: with
+/// SyncReplicas it may be the only one in reach with every acknowledged commit.
+/// It is promoted then so that the other candidates receive these commits; one
+/// of them replaces it before clients use it.
+///
 /// With SyncReplicas, only a server may lead that has every acknowledged
 /// commit: the current primary itself, a server that has received its whole
 /// log, or the one that has received the most of all replicas, if so few are
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -116,6 +116,19 @@
               ->Server == "a");
     CHECK(choosePrimary({leaving}, {.RecordTerm = 3})->Server == "b");
   }
+  SUBCASE("a server that ends soon is not chosen") {
+    // Guards against the promotion of a server that has left, because it is the
+    // only one in reach (review case 5).
+    auto leaving = candidate("b", Replica, 3, {3, 9});
+    leaving.Leaving = true;
+    leaving.EndsSoon = true;
+    CHECK_FALSE(choosePrimary({leaving}, {.RecordTerm = 3}));
+    leaving.IsCurrentPrimary = true;
+    CHECK_FALSE(choosePrimary({leaving}, {.RecordTerm = 3}));
+    CHECK(choosePrimary({candidate("a", Replica, 3, {3, 8}), leaving},
+                        {.RecordTerm = 3})
+              ->Server == "a");
+  }
   SUBCASE("the server that an earlier attempt promoted is chosen") {
     auto it = choosePrimary({candidate("a", Replica, 3, {3, 9}),
                              candidate("b", Primary, 4, {3, 8})},
@@ -245,7 +258,11 @@
   }
   SUBCASE("a leaving replica with the most commits goes first") {
     ahead.Leaving = true;
+    ahead.EndsSoon = true;
     CHECK(choosePrimary({behind, ahead}, context)->Server == "b");
+    CHECK_FALSE(choosePrimary({ahead}, context));
+    behind.Status.Received = ahead.Status.Received;
+    CHECK(choosePrimary({behind, ahead}, context)->Server == "a");
   }
   SUBCASE("a server that an earlier attempt promoted is chosen") {
     context.UnheardReplicas = 1;
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -13,6 +13,12 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds TickPeriod{50};
+/// Within this time after a server registers as draining, each node that
+/// reaches the store or a peer knows it.
+constexpr milliseconds LeavingNoticeDelay{2500};
+/// For this long, a server that was draining already when this node first saw
+/// it is used.
+constexpr milliseconds UnknownDrainLimit{2000};
 /// The other replicas have received what a replica had within this time after
 /// the end of its run, as long as the primary leads.
 constexpr std::chrono::seconds ReplicaCatchUpLimit{30};
@@ -235,6 +241,18 @@
   }
 }
 
+bool ClusterService::mayServe(const base::ServerId &id,
+                              milliseconds delay) const {
+  auto since = leavingSince(id);
+  if (!since)
+    return true;
+  auto limit =
+      std::max(Settings.ServerDrainTime - LeavingNoticeDelay, milliseconds(0));
+  if (Directory.wasFirstSeenDraining(id))
+    limit = std::min(limit, UnknownDrainLimit);
+  return base::BootClock::now() + delay < *since + limit;
+}
+
 std::size_t ClusterService::countLostReplicas(const base::GroupName &group,
                                               const base::ServerId &primary,
                                               base::BootTime since) const {
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -87,6 +87,12 @@
   std::optional<base::BootTime> leavingSince(const base::ServerId &id) const {
     return Directory.leavingSince(id);
   }
+  /// Returns whether clients' statements may still be sent to the server after
+  /// \p delay: it is not leaving, or the time for which it serves does not end
+  /// before. Other nodes learn later that a server is leaving, so this time is
+  /// shorter than the one for which the server says that it serves.
+  bool mayServe(const base::ServerId &id,
+                std::chrono::milliseconds delay = {}) const;
   /// Returns the number of replicas of the group, beside \p primary, whose runs
   /// ended after \p since, or not long before it, with commits that no present
   /// server has for certain (see ServerDirectory).
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -20,6 +20,9 @@
 /// missing record or verifies one.
 constexpr milliseconds RecordCreationDelay{1500};
 constexpr milliseconds EvidenceTimeout{150};
+/// After a failover that could only promote the old primary again, the next one
+/// is considered only after this time.
+constexpr milliseconds KeptPrimaryDelay{1000};
 /// Decisions that follow each other within this time are announced together.
 constexpr milliseconds IntentCollectionTime{5};
 
@@ -99,6 +102,10 @@
     if (isCurrent(failover->second))
       return;
     bool done = !record.FailoverInProgress;
+    bool kept = failover->second->Target == failover->second->Record.Primary;
+    // No other server could lead.
+    if (done && kept)
+      state.NextPoll = now + KeptPrimaryDelay;
     Failovers.erase(failover);
     if (done)
       Cluster->pushGroup(group);
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -121,6 +121,9 @@
                    const std::vector<base::ServerId> &ids,
                    void (FailoverService::*next)(const FailoverPtr &));
   void queryCandidates(const FailoverPtr &failover);
+  /// Returns the server as a candidate other than the current primary.
+  cluster::Candidate candidate(const base::ServerId &id,
+                               const sql::ServerStatus &status) const;
   /// Returns what the choice of the new primary depends on, beside the
   /// candidates.
   cluster::PromotionContext promotionContext(const FailoverPtr &failover) const;
--- a/baobabpin/control/FailoverSteps.cpp
+++ b/baobabpin/control/FailoverSteps.cpp
@@ -23,6 +23,9 @@
 /// The time for which a failover waits for the chosen replica to receive the
 /// whole log of the old primary, when the end of that log is known.
 constexpr milliseconds CatchUpLimit{400};
+/// A server is promoted only if it serves for this long from the choice on.
+/// That covers the promotion and the start of the failover that replaces it.
+constexpr milliseconds MinServingTime{2000};
 /// The time between two log lines about a failover that waits for servers.
 constexpr milliseconds WaitLogPeriod{1000};
 /// A promotion takes effect within this time after the platform accepted it.
@@ -256,6 +259,17 @@
                StatusTimeout, onStatus);
 }
 
+cluster::Candidate
+FailoverService::candidate(const base::ServerId &id,
+                           const sql::ServerStatus &status) const {
+  cluster::Candidate it;
+  it.Server = id;
+  it.Status = status;
+  it.Leaving = Cluster->leavingSince(id).has_value();
+  it.EndsSoon = !Cluster->mayServe(id, MinServingTime);
+  return it;
+}
+
 void FailoverService::queryCandidates(const FailoverPtr &failover) {
   failover->Candidates.clear();
   std::vector<base::ServerId> ids;
@@ -264,9 +278,11 @@
         !failover->RefusedTargets.contains(id))
       ids.push_back(id);
   }
-  if (failover->OldStatus)
-    failover->Candidates.push_back(
-        {failover->Record.Primary, *failover->OldStatus, false, true});
+  if (failover->OldStatus) {
+    auto it = candidate(failover->Record.Primary, *failover->OldStatus);
+    it.IsCurrentPrimary = true;
+    failover->Candidates.push_back(it);
+  }
   queryStatus(failover, ids, &FailoverService::choose);
 }
 
@@ -280,20 +296,18 @@
     return;
   }
   for (const auto &id : ids) {
-    Access.Query(
-        id, platform::formatStatusQuery(), StatusTimeout,
-        [this, weak = std::weak_ptr<Failover>(failover), id,
-         next](const std::optional<sql::Reply> &reply) {
-          FailoverPtr it = weak.lock();
-          if (!it || !isCurrent(it))
-            return;
-          auto status = statusOf(reply);
-          if (status)
-            it->Candidates.push_back(
-                {id, *status, Cluster->leavingSince(id).has_value(), false});
-          if (--it->QueriesOutstanding == 0)
-            (this->*next)(it);
-        });
+    Access.Query(id, platform::formatStatusQuery(), StatusTimeout,
+                 [this, weak = std::weak_ptr<Failover>(failover), id,
+                  next](const std::optional<sql::Reply> &reply) {
+                   FailoverPtr it = weak.lock();
+                   if (!it || !isCurrent(it))
+                     return;
+                   auto status = statusOf(reply);
+                   if (status)
+                     it->Candidates.push_back(candidate(id, *status));
+                   if (--it->QueriesOutstanding == 0)
+                     (this->*next)(it);
+                 });
   }
 }
 
--- a/baobabpin/control/ServerDirectory.cpp
+++ b/baobabpin/control/ServerDirectory.cpp
@@ -63,6 +63,10 @@
     if (!added && known->second == *it)
       continue;
     changed = true;
+    if (added && it->Draining)
+      FirstSeenDraining.insert(it->Id);
+    if (!it->Draining)
+      FirstSeenDraining.erase(it->Id);
     if (known->second.StartedMs != it->StartedMs)
       noteEndOfRun(known->second, now);
     known->second = *it;
@@ -93,6 +97,8 @@
   }
   std::erase_if(LeavingSince,
                 [&](const auto &it) { return !Servers.contains(it.first); });
+  std::erase_if(FirstSeenDraining,
+                [&](const auto &it) { return !Servers.contains(it); });
   return changed;
 }
 
--- a/baobabpin/control/ServerDirectory.h
+++ b/baobabpin/control/ServerDirectory.h
@@ -21,6 +21,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace baobabpin::control {
@@ -61,6 +62,11 @@
   /// Returns when the server was first seen to be draining or to have no
   /// registration, or nothing if neither holds.
   std::optional<base::BootTime> leavingSince(const base::ServerId &id) const;
+  /// Returns whether the server is draining and was never seen without. When it
+  /// began to drain is not known then.
+  bool wasFirstSeenDraining(const base::ServerId &id) const {
+    return FirstSeenDraining.contains(id);
+  }
   /// Returns the number of runs of the group's servers, other than \p primary,
   /// that ended after \p since with commits that no present server has for
   /// certain. A server that drained until its end passes its log on to the
@@ -99,6 +105,7 @@
   base::BootTime ConfirmedAt{};
   std::map<base::ServerId, cluster::ServerRegistration> Servers;
   std::map<base::ServerId, base::BootTime> LeavingSince;
+  std::set<base::ServerId> FirstSeenDraining;
   std::map<base::ServerId, DrainingRun> DrainingRuns;
   /// In the order in which they ended.
   std::vector<EndedRun> EndedRuns;
--- a/baobabpin/control/ServerDirectoryTest.cpp
+++ b/baobabpin/control/ServerDirectoryTest.cpp
@@ -144,6 +144,21 @@
   CHECK(fixture.Directory.servers().contains("s2"));
 }
 
+TEST_CASE("a server that was draining when it was first seen") {
+  DirectoryFixture fixture;
+  auto draining = makeServer("s2");
+  draining.Draining = true;
+  fixture.adopt({makeServer("s1"), draining}, 100ms);
+  CHECK_FALSE(fixture.Directory.wasFirstSeenDraining("s2"));
+  auto other = draining;
+  other.Id = "s3";
+  fixture.adopt({makeServer("s1"), draining, other}, 200ms);
+  CHECK(fixture.Directory.wasFirstSeenDraining("s3"));
+  other.Draining = false;
+  fixture.adopt({makeServer("s1"), draining, other}, 300ms);
+  CHECK_FALSE(fixture.Directory.wasFirstSeenDraining("s3"));
+}
+
 TEST_CASE("a snapshot that is not newer has no effect") {
   DirectoryFixture fixture;
   CHECK_FALSE(fixture.adopt({}, 0ms));
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -122,13 +122,24 @@
   const auto &record = Cluster.view().Groups.at(Name).Value;
   it.Epoch = record.Epoch;
   it.Pool = pool(record.Primary);
-  // The primary's registration is gone, and the failover that follows has not
-  // begun yet.
-  if (!it.Pool)
+  // The primary's registration is gone, or it has left, and the failover that
+  // follows has not begun yet.
+  if (!it.Pool || !Cluster.mayServe(record.Primary)) {
+    it.Pool = nullptr;
     it.Use = cluster::PrimaryUse::FailoverInProgress;
+  }
   return it;
 }
 
+bool GroupProxy::hasReplacementFor(const base::ServerId &primary) const {
+  return std::ranges::any_of(Pools, [&](const auto &entry) {
+    const auto &[id, pool] = entry;
+    const auto &condition = pool->condition();
+    return id != primary && !isLeaving(id) && !condition.Unreachable &&
+           !condition.WrongIdentity;
+  });
+}
+
 PoolPtr GroupProxy::pool(const base::ServerId &id) const {
   auto it = Pools.find(id);
   return it == Pools.end() ? nullptr : it->second;
@@ -358,7 +369,8 @@
     return it;
   const auto &id = record->second.Value.Primary;
   auto server = pool(id);
-  it.Leaving = !server || Cluster.leavingSince(id).has_value();
+  it.Leaving = !server || (isLeaving(id) &&
+                           (hasReplacementFor(id) || !Cluster.mayServe(id)));
   if (!server)
     return it;
   it.Unreachable = server->condition().Unreachable;
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -52,6 +52,11 @@
   void tick();
 
   PrimaryChoice primary() const;
+  /// Returns whether the server is draining or has no registration. New reads
+  /// are not sent to a replica that is leaving.
+  bool isLeaving(const base::ServerId &id) const {
+    return Cluster.leavingSince(id).has_value();
+  }
   /// The pool of a server, or null.
   PoolPtr pool(const base::ServerId &id) const;
   /// The best server, outside of \p excluded, for a read that needs the log
@@ -124,6 +129,9 @@
   void probeThroughOwner(const ChannelPtr &channel, std::uint64_t epoch);
   pooling::ConnectionShare shareOf(const cluster::ServerRegistration &server);
   void resumeWaiting();
+  /// Returns whether a server other than \p primary is not known to be leaving
+  /// or out of reach.
+  bool hasReplacementFor(const base::ServerId &primary) const;
 
   kernel::EventLoop &Loop;
   control::ClusterService &Cluster;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -136,6 +136,10 @@
     finish(ErrorCode::Busy, pool ? "not_the_primary" : "unknown_server");
     return;
   }
+  if (!onPrimary && Group->isLeaving(*Request.FixedServer)) {
+    finish(ErrorCode::Busy, "server_leaves");
+    return;
+  }
   Epoch = onPrimary ? choice.Epoch : 0;
   acquire(pool);
 }
