Accept only names that are one field of a message

An operator elsewhere reported odd entries among those of the servers. Here, an entry with the key "servers/i-10 CR LF QUERY - STEPDOWN 99" and the address of i-10 made this primary step down; the group stayed without one for seconds.

Cause: the Id and the group of a registration became part of the START line unchecked.

--- a/baobabpin/control/MalformedMessagesTest.cpp
+++ b/baobabpin/control/MalformedMessagesTest.cpp
@@ -167,6 +167,26 @@
   }
 }
 
+TEST_CASE("a peer passes on no server with an invalid name or address") {
+  // Guards against entries of other writers that a peer of an earlier program
+  // version accepts and passes on.
+  SyncReply reply;
+  reply.Servers.emplace();
+  cluster::ServerRegistration valid{"s1", "g", {"10.0.0.1", 70}, "a", false, 2};
+  reply.Servers->push_back(valid);
+  auto add = [&](auto change) {
+    reply.Servers->push_back(valid);
+    change(reply.Servers->back());
+  };
+  add([](auto &it) { it.Id = "s2\r\nQUERY - STEPDOWN 9"; });
+  add([](auto &it) { it.Group = "g\nx"; });
+  add([](auto &it) { it.Zone = ""; });
+  auto decoded = decodeSyncReply(encode(reply));
+  REQUIRE(decoded);
+  REQUIRE(decoded->Servers);
+  CHECK(*decoded->Servers == std::vector{valid});
+}
+
 TEST_CASE("an age of a peer's reply cannot extend a lease") {
   SyncReply reply;
   reply.ViewAge = 5ms;
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace baobabpin::control {
 namespace {
 
@@ -178,8 +180,11 @@
     reply.CannotConfirm = it.at("cannot_confirm").get<bool>();
     if (it.contains("servers")) {
       reply.Servers.emplace();
-      for (const json &server : it["servers"])
-        reply.Servers->push_back(serverFrom(server));
+      for (const json &server : it["servers"]) {
+        auto registration = serverFrom(server);
+        if (cluster::hasValidNames(registration))
+          reply.Servers->push_back(std::move(registration));
+      }
     }
     for (const auto &[group, report] : it.at("positions").items())
       reply.Positions[group] = positionFrom(report);
