Connect only to addresses that are IPv4 addresses

An entry of a server with the address 300.1.2.3:PORT made each node connect to that port on its own host, 72 times in 6 s; [::1]:PORT and names alike.

Cause: the result of the address conversion was not looked at, and a failed conversion leaves 0.0.0.0.

--- a/baobabpin/cluster/Types.cpp
+++ b/baobabpin/cluster/Types.cpp
@@ -4,8 +4,9 @@
 
 namespace baobabpin::cluster {
 
-bool hasValidNames(const ServerRegistration &it) {
-  return base::isWord(it.Id) && base::isWord(it.Group) && base::isName(it.Zone);
+bool isUsable(const ServerRegistration &it) {
+  return base::isWord(it.Id) && base::isWord(it.Group) &&
+         base::isName(it.Zone) && http::isReachable(it.Address);
 }
 
 } // namespace baobabpin::cluster
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -78,10 +78,10 @@
   bool operator==(const ServerRegistration &) const = default;
 };
 
-/// Whether the names of \p it can be fields of a message to the server. Any
-/// process can write a registration, so this is checked for each one that
-/// another process supplies.
-bool hasValidNames(const ServerRegistration &it);
+/// Whether the names of \p it can be fields of a message to the server, and a
+/// connection can be opened to its address. Any process can write a
+/// registration, so this is checked for each one that another process supplies.
+bool isUsable(const ServerRegistration &it);
 
 /// The beginning of a term.
 struct TermStart {
--- a/baobabpin/control/MalformedMessagesTest.cpp
+++ b/baobabpin/control/MalformedMessagesTest.cpp
@@ -181,6 +181,8 @@
   add([](auto &it) { it.Id = "s2\r\nQUERY - STEPDOWN 9"; });
   add([](auto &it) { it.Group = "g\nx"; });
   add([](auto &it) { it.Zone = ""; });
+  add([](auto &it) { it.Address = {"300.1.2.3", 80}; });
+  add([](auto &it) { it.Address.Port = 0; });
   auto decoded = decodeSyncReply(encode(reply));
   REQUIRE(decoded);
   REQUIRE(decoded->Servers);
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -182,7 +182,7 @@
       reply.Servers.emplace();
       for (const json &server : it["servers"]) {
         auto registration = serverFrom(server);
-        if (cluster::hasValidNames(registration))
+        if (cluster::isUsable(registration))
           reply.Servers->push_back(std::move(registration));
       }
     }
--- a/baobabpin/http/HttpClient.cpp
+++ b/baobabpin/http/HttpClient.cpp
@@ -13,8 +13,12 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 namespace baobabpin::http {
@@ -22,6 +26,17 @@
 using kernel::EventLoop;
 using kernel::Timer;
 
+namespace {
+
+std::optional<in_addr> parseIpv4(const std::string &text) {
+  in_addr address{};
+  if (inet_pton(AF_INET, text.c_str(), &address) != 1)
+    return std::nullopt;
+  return address;
+}
+
+} // namespace
+
 Endpoint parseEndpoint(const std::string &text) {
   auto colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0)
@@ -29,11 +44,17 @@
   Endpoint endpoint{text.substr(0, colon), 0};
   const char *end = text.data() + text.size();
   auto [ptr, ec] = std::from_chars(text.data() + colon + 1, end, endpoint.Port);
-  if (ec != std::errc() || ptr != end || endpoint.Port == 0)
+  if (ec != std::errc() || ptr != end || endpoint.Port == 0 ||
+      !parseIpv4(endpoint.Address))
     return {};
   return endpoint;
 }
 
+bool isReachable(const Endpoint &endpoint) {
+  auto address = parseIpv4(endpoint.Address);
+  return address && address->s_addr != INADDR_ANY && endpoint.Port != 0;
+}
+
 std::string formatEndpoint(const Endpoint &endpoint) {
   return endpoint.Address + ":" + std::to_string(endpoint.Port);
 }
--- a/baobabpin/http/HttpClient.h
+++ b/baobabpin/http/HttpClient.h
@@ -27,8 +27,12 @@
 };
 
 /// Parses text such as "127.0.0.1:8080". Returns an endpoint with an empty
-/// address and port 0 if \p text does not have that form.
+/// address and port 0 if \p text does not have that form, or if its address is
+/// not an IPv4 address.
 Endpoint parseEndpoint(const std::string &text);
+/// Whether a connection can be opened to \p endpoint: its address is the IPv4
+/// address of a host, and its port is not 0.
+bool isReachable(const Endpoint &endpoint);
 /// Returns the endpoint as "ADDRESS:PORT".
 std::string formatEndpoint(const Endpoint &endpoint);
 
--- a/baobabpin/http/HttpTest.cpp
+++ b/baobabpin/http/HttpTest.cpp
@@ -31,6 +31,15 @@
   CHECK(parseEndpoint("127.0.0.1").Address.empty());
   CHECK(parseEndpoint("127.0.0.1:99999").Port == 0);
   CHECK(parseEndpoint(":80").Address.empty());
+  for (const char *it : {"300.1.2.3:80", "localhost:80", "[::1]:80", "1.2.3:80",
+                         "1.2.3.4:5:80", "1.2.3.4:-1", "1.2.3.4: 80"}) {
+    CAPTURE(std::string(it));
+    CHECK(parseEndpoint(it).Address.empty());
+  }
+  CHECK(isReachable({"127.0.0.1", 80}));
+  CHECK_FALSE(isReachable({"0.0.0.0", 80}));
+  CHECK_FALSE(isReachable({"127.0.0.1", 0}));
+  CHECK_FALSE(isReachable({"host", 80}));
 }
 
 TEST_CASE("an HTTP connection reports the reply or the kind of failure") {
--- a/baobabpin/net/LineConnection.cpp
+++ b/baobabpin/net/LineConnection.cpp
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace baobabpin::net {
@@ -25,11 +26,13 @@
 constexpr std::chrono::milliseconds TcpUserTimeout{6000};
 constexpr int ListenBacklog = 512;
 
-sockaddr_in makeAddress(const http::Endpoint &endpoint) {
+/// Returns nothing if the endpoint's address is not an IPv4 address.
+std::optional<sockaddr_in> makeAddress(const http::Endpoint &endpoint) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(endpoint.Port);
-  inet_pton(AF_INET, endpoint.Address.c_str(), &address.sin_addr);
+  if (inet_pton(AF_INET, endpoint.Address.c_str(), &address.sin_addr) != 1)
+    return std::nullopt;
   return address;
 }
 
@@ -49,9 +52,13 @@
   auto *raw = bufferevent_socket_new(
       loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   connection->attach(raw, std::move(handlers));
-  sockaddr_in address = makeAddress(endpoint);
-  bufferevent_socket_connect(raw, reinterpret_cast<sockaddr *>(&address),
-                             sizeof address);
+  auto address = makeAddress(endpoint);
+  if (!address) {
+    bufferevent_trigger_event(raw, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
+    return connection;
+  }
+  bufferevent_socket_connect(raw, reinterpret_cast<sockaddr *>(&*address),
+                             sizeof *address);
   if (int fd = bufferevent_getfd(raw); fd >= 0)
     configureSocket(fd);
   return connection;
@@ -160,7 +167,11 @@
 base::Result<void> Listener::listen(const http::Endpoint &endpoint,
                                     AcceptHandler handler) {
   OnAccept = std::move(handler);
-  sockaddr_in address = makeAddress(endpoint);
+  auto address = makeAddress(endpoint);
+  if (!address)
+    return base::fail(base::ErrorType::InvalidSettings,
+                      "cannot listen on " + http::formatEndpoint(endpoint) +
+                          ": not an IPv4 address");
   Raw = evconnlistener_new_bind(
       Loop.base(),
       [](evconnlistener *, evutil_socket_t fd, sockaddr *, int, void *arg) {
@@ -168,7 +179,7 @@
         kernel::runGuarded("accept", [&] { self->OnAccept(fd); });
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
-      reinterpret_cast<sockaddr *>(&address), sizeof address);
+      reinterpret_cast<sockaddr *>(&*address), sizeof *address);
   if (!Raw)
     return base::fail(base::ErrorType::InvalidSettings,
                       "cannot listen on " + http::formatEndpoint(endpoint));
--- a/baobabpin/net/LineConnection.h
+++ b/baobabpin/net/LineConnection.h
@@ -55,7 +55,8 @@
 class LineConnection : public std::enable_shared_from_this<LineConnection> {
 public:
   /// Starts to connect to \p endpoint. Data may be sent at once; it is buffered
-  /// until the connection is established.
+  /// until the connection is established. The connection fails if the address
+  /// is not an IPv4 address.
   static std::shared_ptr<LineConnection> connect(kernel::EventLoop &loop,
                                                  const http::Endpoint &endpoint,
                                                  LineHandlers handlers);
