Replace all control characters in log values

A NUL byte in a key of the store went into the logs unchanged, and tools took the log for a binary file. Only CR and LF were replaced, in one of the two logs only LF.

--- a/baobabpin/kernel/EventLog.cpp
+++ b/baobabpin/kernel/EventLog.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/kernel/EventLog.h"
 
+#include "baobabpin/base/Word.h"
+
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -8,7 +10,8 @@
 namespace {
 
 void appendValue(std::string &line, const std::string &value) {
-  if (!value.empty() && value.find_first_of(" \"=\n") == std::string::npos) {
+  if (!value.empty() && !base::hasControl(value) &&
+      value.find_first_of(" \"=") == std::string::npos) {
     line += value;
     return;
   }
@@ -16,7 +19,7 @@
   for (char c : value) {
     if (c == '"' || c == '\\')
       line += '\\';
-    line += c == '\n' ? ' ' : c;
+    line += base::isControl(c) ? ' ' : c;
   }
   line += '"';
 }
--- a/baobabpin/kernel/LineLog.cpp
+++ b/baobabpin/kernel/LineLog.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/kernel/LineLog.h"
 
+#include "baobabpin/base/Word.h"
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -40,8 +42,8 @@
   Text += ' ';
   Text += key;
   Text += '=';
-  bool isPlain = !value.empty() &&
-                 value.find_first_of(" \"=\r\n") == std::string_view::npos;
+  bool isPlain = !value.empty() && !base::hasControl(value) &&
+                 value.find_first_of(" \"=") == std::string_view::npos;
   if (isPlain) {
     Text += value;
     return *this;
@@ -50,7 +52,7 @@
   for (char c : value) {
     if (c == '"' || c == '\\')
       Text += '\\';
-    Text += c == '\n' || c == '\r' ? ' ' : c;
+    Text += base::isControl(c) ? ' ' : c;
   }
   Text += '"';
   return *this;
