Limit the nesting of relayed messages

A message on the port for relayed statements that was nested 200,000 deep and marked as bytes ended the node with SIGSEGV: mapStrings() calls itself once for each level.

Tests: relay, "a deeply nested message does not end the process", which crashed before.

--- a/baobabpin/relay/Messages.cpp
+++ b/baobabpin/relay/Messages.cpp
@@ -141,21 +141,28 @@
   return bytes;
 }
 
-/// Applies \p change to all strings in \p it, including object keys.
-json mapStrings(const json &it, std::string (*change)(const std::string &)) {
+/// The deepest nesting of a message.
+constexpr int MaxDepth = 16;
+
+/// Applies \p change to all strings in \p it, including object keys. A peer's
+/// message that is nested more deeply than \p depth is malformed.
+json mapStrings(const json &it, std::string (*change)(const std::string &),
+                int depth = MaxDepth) {
+  if (depth < 0)
+    throw json::type_error::create(302, "too deeply nested", nullptr);
   if (it.is_string())
     return change(it.get_ref<const std::string &>());
   if (it.is_array()) {
     json list = json::array();
     for (const json &entry : it)
-      list.push_back(mapStrings(entry, change));
+      list.push_back(mapStrings(entry, change, depth - 1));
     return list;
   }
   if (!it.is_object())
     return it;
   json object = json::object();
   for (const auto &[key, value] : it.items())
-    object[change(key)] = mapStrings(value, change);
+    object[change(key)] = mapStrings(value, change, depth - 1);
   return object;
 }
 
--- a/baobabpin/relay/MessagesTest.cpp
+++ b/baobabpin/relay/MessagesTest.cpp
@@ -74,6 +74,14 @@
   CHECK_FALSE(got->Result.Error.has_value());
 }
 
+TEST_CASE("a deeply nested message does not end the process") {
+  const std::size_t depth = 200'000;
+  std::string nested = std::string(depth, '[') + std::string(depth, ']');
+  CHECK_FALSE(decodeRequest(nested));
+  CHECK_FALSE(decodeRequest(R"({"bytes":true,"seq":)" + nested + "}"));
+  CHECK_FALSE(decodeReply(R"({"bytes":true,"seq":)" + nested + "}"));
+}
+
 TEST_CASE("a malformed message is rejected") {
   CHECK_FALSE(decodeRequest("").has_value());
   CHECK_FALSE(decodeRequest("[]").has_value());
