Search each received byte for a line end once

Cause: evbuffer_readln() begins at the start of the buffer at each arrival, so a long line costs time in proportion to the square of its length.

Change: a connection remembers how many buffered bytes have no line end. The last byte is searched again, because a line end may arrive in two pieces.

--- a/baobabpin/net/LineConnection.cpp
+++ b/baobabpin/net/LineConnection.cpp
@@ -133,13 +133,16 @@
 void LineConnection::readLines() {
   while (Raw) {
     evbuffer *buf = bufferevent_get_input(Raw);
-    std::size_t n = 0;
-    char *line = evbuffer_readln(buf, &n, EVBUFFER_EOL_CRLF_STRICT);
-    if (!line) {
+    if (!findLineEnd(buf)) {
       if (evbuffer_get_length(buf) > MaxLineBytes)
         closeAndNotify();
       return;
     }
+    std::size_t n = 0;
+    char *line = evbuffer_readln(buf, &n, EVBUFFER_EOL_CRLF_STRICT);
+    Searched = 0;
+    if (!line)
+      return;
     std::unique_ptr<char, decltype(&free)> holder(line, &free);
     if (n > MaxLineBytes) {
       closeAndNotify();
@@ -154,6 +157,19 @@
   }
 }
 
+bool LineConnection::findLineEnd(evbuffer *buf) {
+  evbuffer_ptr from;
+  if (evbuffer_ptr_set(buf, &from, Searched, EVBUFFER_PTR_SET) != 0)
+    return false;
+  if (evbuffer_search_eol(buf, &from, nullptr, EVBUFFER_EOL_CRLF_STRICT).pos >=
+      0)
+    return true;
+  // The last byte may be the first one of a line end.
+  std::size_t size = evbuffer_get_length(buf);
+  Searched = size == 0 ? 0 : size - 1;
+  return false;
+}
+
 void LineConnection::closeAndNotify() {
   if (!Raw)
     return;
--- a/baobabpin/net/LineConnection.h
+++ b/baobabpin/net/LineConnection.h
@@ -17,6 +17,7 @@
 #include <string_view>
 
 struct bufferevent;
+struct evbuffer;
 struct evconnlistener;
 
 namespace baobabpin::net {
@@ -82,11 +83,16 @@
   void attach(bufferevent *raw, LineHandlers handlers);
   /// Passes all complete lines in the input buffer to the handler.
   void readLines();
+  /// Returns whether the input buffer contains a line end. Searches each byte
+  /// once, however many arrivals a line takes.
+  bool findLineEnd(evbuffer *buf);
   /// Closes the connection and calls OnClosed.
   void closeAndNotify();
 
   bufferevent *Raw = nullptr;
   LineHandlers Handlers;
+  /// The number of buffered bytes that are known to contain no line end.
+  std::size_t Searched = 0;
 };
 
 /// Listens on an endpoint and accepts TCP connections.
--- a/baobabpin/net/LineConnectionTest.cpp
+++ b/baobabpin/net/LineConnectionTest.cpp
@@ -2,7 +2,13 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ctime>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace baobabpin::net {
 namespace {
@@ -55,5 +61,71 @@
   CHECK(refused);
 }
 
+TEST_CASE("a long line without an end takes time in proportion to its length") {
+  // Guards against peers that keep the event loop busy: the search for the line
+  // end began anew at each arrival.
+  kernel::EventLoop loop;
+  constexpr int Peers = 16;
+  constexpr std::size_t PieceBytes = 2048;
+  const std::string piece(PieceBytes, '\r');
+  int closed = 0;
+  std::vector<std::shared_ptr<LineConnection>> connections;
+  std::vector<int> peers;
+  for (int n = 0; n < Peers; ++n) {
+    int ends[2];
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) == 0);
+    peers.push_back(ends[0]);
+    LineHandlers handlers;
+    handlers.OnClosed = [&closed] { ++closed; };
+    connections.push_back(
+        LineConnection::adopt(loop, ends[1], std::move(handlers)));
+  }
+  std::vector<std::size_t> sent(Peers, 0);
+  auto begin = std::clock();
+  auto writer = loop.runEvery(1ms, [&] {
+    for (int n = 0; n < Peers; ++n) {
+      if (sent[n] > MaxLineBytes)
+        continue;
+      ssize_t count = send(peers[n], piece.data(), piece.size(), MSG_NOSIGNAL);
+      sent[n] += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    if (closed == Peers)
+      loop.stop();
+  });
+  auto limit = loop.runAfter(60s, [&] { loop.stop(); });
+  loop.run();
+  double seconds = static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+  for (int it : peers)
+    close(it);
+  CHECK(closed == Peers);
+  // The work of a linear search takes a small part of this time.
+  CHECK(seconds < 3);
+}
+
+TEST_CASE("a line end that arrives in two pieces ends the line") {
+  kernel::EventLoop loop;
+  int ends[2];
+  REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) == 0);
+  std::vector<std::string> lines;
+  LineHandlers handlers;
+  handlers.OnLine = [&](std::string_view line) {
+    lines.emplace_back(line);
+    if (lines.size() == 3)
+      loop.stop();
+  };
+  auto connection = LineConnection::adopt(loop, ends[1], std::move(handlers));
+  const std::string text = "one\r\n\r\ntwo\rmore\r\n";
+  std::size_t next = 0;
+  auto writer = loop.runEvery(2ms, [&] {
+    if (next < text.size())
+      next += static_cast<std::size_t>(
+          send(ends[0], text.data() + next, 1, MSG_NOSIGNAL));
+  });
+  auto limit = loop.runAfter(5s, [&] { loop.stop(); });
+  loop.run();
+  close(ends[0]);
+  CHECK(lines == std::vector<std::string>{"one", "", "two\rmore"});
+}
+
 } // namespace
 } // namespace baobabpin::net
