Return a connection that was lost inside a transaction

Cause: StatementRun::start() ended the statement before it took over the pinned connection, so nothing gave it back to the pool, which counted it as in use.

--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -71,11 +71,12 @@
     sendThroughOwner(Request.Pinned.Channel, Request.Pinned.TransactionId);
     return;
   }
-  if (!Request.Pinned.Connection->isIdle()) {
+  // finish() returns the connection to its pool.
+  Connection = Request.Pinned.Connection;
+  if (!Connection->isIdle()) {
     finish(ErrorCode::Aborted, "connection_lost");
     return;
   }
-  Connection = Request.Pinned.Connection;
   if (Request.Pinned.OnPrimary && Request.Writes && !isStillPrimary()) {
     finish(ErrorCode::Aborted, "primary_replaced");
     return;
