--- a/baobabpin/control/FailoverSteps.cpp
+++ b/baobabpin/control/FailoverSteps.cpp
@@ -321,8 +321,9 @@
     context.SyncReplicas = config->Groups.at(failover->Group).SyncReplicas;
   const base::ServerId &primary = failover->Record.Primary;
   for (const auto &[id, server] : Cluster->servers()) {
-    bool heard = std::ranges::any_of(
-        failover->Candidates, [&](const auto &it) { return it.Server == id; });
+    bool heard = std::ranges::find(failover->Candidates, id,
+                                   &cluster::Candidate::Server) !=
+                 failover->Candidates.end();
     if (server.Group == failover->Group && id != primary && !heard)
       ++context.UnheardReplicas;
   }
