Keep a node from taking a lost promotion duty back at once

Cause: a coordinator whose reply is later than 150 ms counts as lost, and the first capable node takes the duty over. The former holder took it back the same way when a reply of the new one was late.

Change: a node that has seen another one take the duty from it neither takes it back within 5 s nor tells its peers that it could. A lost holder is replaced as fast as before.

--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -48,10 +48,10 @@
 /// by name takes it.
 std::string chooseCoordinator(const FailoverEvidence &evidence) {
   std::vector<std::string> capable;
-  if (evidence.SelfStoreReachable)
+  if (evidence.SelfCanCoordinate)
     capable.push_back(evidence.Self);
   for (const auto &it : evidence.Peers) {
-    if (it.StoreReachable)
+    if (it.CanCoordinate)
       capable.push_back(it.Node);
   }
   if (capable.empty())
@@ -63,6 +63,19 @@
 
 } // namespace
 
+void noteDutyHolder(DutyHistory &history, const std::string &self,
+                    const std::string &holder, base::BootTime now) {
+  if (holder == self)
+    history.LostAt.reset();
+  else if (history.Holder == self && !holder.empty())
+    history.LostAt = now;
+  history.Holder = holder;
+}
+
+bool mayHoldDuty(const DutyHistory &history, base::BootTime now) {
+  return !history.LostAt || now - *history.LostAt >= DutyReturnDelay;
+}
+
 FailoverVerdict decideFailover(const FailoverEvidence &evidence) {
   bool busy = std::ranges::any_of(evidence.Peers, [](const PeerEvidence &it) {
     return it.FailoverInProgress;
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -54,7 +54,8 @@
 /// What a peer reported about the primary.
 struct PeerEvidence {
   std::string Node;
-  bool StoreReachable = false;
+  /// The peer reaches the store and may take the promotion duty.
+  bool CanCoordinate = false;
   /// The peer is running a failover of the group.
   bool FailoverInProgress = false;
   /// The time since the primary's last reply to the peer.
@@ -64,7 +65,7 @@
 /// The input of decideFailover().
 struct FailoverEvidence {
   std::string Self;
-  bool SelfStoreReachable = false;
+  bool SelfCanCoordinate = false;
   PrimaryObservation Own;
   /// The replies of the peers that could be reached.
   std::vector<PeerEvidence> Peers;
@@ -89,6 +90,25 @@
 
 std::string_view failoverVerdictName(FailoverVerdict verdict);
 
+/// A node that has lost the promotion duty to another one does not take it back
+/// within this time. Without the delay, nodes whose replies are late would take
+/// it from each other in turns, each with promotions of its own.
+inline constexpr std::chrono::milliseconds DutyReturnDelay{5000};
+
+/// What a node has seen of the promotion duty.
+struct DutyHistory {
+  std::string Holder;
+  /// When another node was first seen to hold the duty after this one.
+  std::optional<base::BootTime> LostAt;
+};
+
+/// Records that \p holder has the duty, as the node \p self sees it at \p now.
+void noteDutyHolder(DutyHistory &history, const std::string &self,
+                    const std::string &holder, base::BootTime now);
+
+/// Returns whether the node may take the duty, or keep it.
+bool mayHoldDuty(const DutyHistory &history, base::BootTime now);
+
 FailoverVerdict decideFailover(const FailoverEvidence &evidence);
 
 /// A server that could become the primary.
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -15,7 +15,7 @@
 FailoverEvidence silentPrimaryEvidence() {
   FailoverEvidence it;
   it.Self = "n2";
-  it.SelfStoreReachable = true;
+  it.SelfCanCoordinate = true;
   it.Own.PrimaryReplyAge = 700ms;
   it.Peers = {peer("n1", 700ms), peer("n3", 700ms)};
   it.PeersAsked = 2;
@@ -34,7 +34,7 @@
   SUBCASE("the first node by name runs it when the holder does not answer") {
     evidence.DutyHolder = "n9";
     CHECK(decideFailover(evidence) == FailoverVerdict::DeferToOther);
-    evidence.Peers[0].StoreReachable = false;
+    evidence.Peers[0].CanCoordinate = false;
     CHECK(decideFailover(evidence) == FailoverVerdict::StartFailover);
   }
   SUBCASE("stays primary while half of the reachable nodes get replies") {
@@ -70,9 +70,9 @@
     CHECK(decideFailover(evidence) == FailoverVerdict::StartFailover);
   }
   SUBCASE("is not replaced when no node reaches the store") {
-    evidence.SelfStoreReachable = false;
+    evidence.SelfCanCoordinate = false;
     for (auto &it : evidence.Peers)
-      it.StoreReachable = false;
+      it.CanCoordinate = false;
     CHECK(decideFailover(evidence) == FailoverVerdict::Undecided);
   }
 }
@@ -85,6 +85,39 @@
   CHECK(decideFailover(evidence) == FailoverVerdict::StartFailover);
 }
 
+TEST_CASE("nodes do not take the promotion duty from each other in turns") {
+  // Guards against two holders that promote servers of one service in turns
+  // (review case 3): n1 holds the duty, n2 takes it because a reply of n1 is
+  // late, and n1 takes it back because a reply of n2 is late.
+  constexpr base::BootTime Start{1000s};
+  DutyHistory history;
+  CHECK(mayHoldDuty(history, Start));
+  noteDutyHolder(history, "n1", "n1", Start);
+  CHECK(mayHoldDuty(history, Start));
+  noteDutyHolder(history, "n1", "n2", Start + 1s);
+  CHECK_FALSE(mayHoldDuty(history, Start + 1s));
+  noteDutyHolder(history, "n1", "n3", Start + 2s);
+  CHECK_FALSE(mayHoldDuty(history, Start + 1s + DutyReturnDelay - 1ms));
+  CHECK(mayHoldDuty(history, Start + 1s + DutyReturnDelay));
+
+  SUBCASE("a node that has the duty again keeps it") {
+    noteDutyHolder(history, "n1", "n1", Start + 2s);
+    CHECK(mayHoldDuty(history, Start + 2s));
+  }
+  SUBCASE("a node that never held it may take it") {
+    DutyHistory other;
+    noteDutyHolder(other, "n4", "n1", Start);
+    noteDutyHolder(other, "n4", "n2", Start + 1s);
+    CHECK(mayHoldDuty(other, Start + 1s));
+  }
+  SUBCASE("a node that may not hold it defers to another one") {
+    FailoverEvidence evidence = silentPrimaryEvidence();
+    evidence.SelfCanCoordinate = false;
+    evidence.DutyHolder = "n9";
+    CHECK(decideFailover(evidence) == FailoverVerdict::DeferToOther);
+  }
+}
+
 TEST_CASE("suspicion") {
   CHECK_FALSE(isSuspect({.PrimaryReplyAge = 200ms}));
   CHECK(isSuspect({.PrimaryReplyAge = SuspectAfter + 1ms}));
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -321,6 +321,8 @@
   auto before = View;
   if (!merge(View))
     return;
+  cluster::noteDutyHolder(Duty, Self.Node, View.Duty.Value.Holder,
+                          base::BootClock::now());
   if (View.Era != before.Era)
     onEraEntered(before);
   auto digest = cluster::digestOf(View);
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -11,6 +11,7 @@
 
 #include "baobabpin/cluster/ClusterView.h"
 #include "baobabpin/cluster/FleetPlan.h"
+#include "baobabpin/cluster/MoveDecision.h"
 #include "baobabpin/control/ConfigDistribution.h"
 #include "baobabpin/control/PeerCalls.h"
 #include "baobabpin/control/PrefixReader.h"
@@ -107,6 +108,12 @@
   /// Returns whether this node itself has recently read the records from the
   /// store. A confirmation received through a peer does not count.
   bool isStoreReachable() const;
+  /// Returns whether this node may take the promotion duty.
+  bool mayHoldDuty() const {
+    return cluster::mayHoldDuty(Duty, base::BootClock::now());
+  }
+  /// Returns whether this node may run failovers.
+  bool canCoordinate() const { return isStoreReachable() && mayHoldDuty(); }
   /// Returns the registered nodes other than this one.
   std::vector<PeerNode> peers() const;
   /// Returns the nodes that a failover must wait for: the registered ones, and
@@ -262,6 +269,7 @@
   /// The last reply from one of Plan.SyncSources.
   base::BootTime SourceRepliedAt{};
   ServerDirectory Directory;
+  cluster::DutyHistory Duty;
   /// The highest epoch of each group whose primary this node must not use.
   std::map<base::GroupName, std::uint64_t> RevokedEpochs;
   base::BootTime StartedAt{};
--- a/baobabpin/control/ClusterSync.cpp
+++ b/baobabpin/control/ClusterSync.cpp
@@ -252,7 +252,7 @@
 
 void ClusterService::onEvidence(const EvidenceRequest &request,
                                 const http::ResponderPtr &responder) {
-  EvidenceReply reply{.StoreReachable = isStoreReachable()};
+  EvidenceReply reply{.CanCoordinate = canCoordinate()};
   for (const auto &[group, suspected] : request.Suspected) {
     // Only a suspicion makes this node poll its peers in turn; otherwise two
     // nodes would poll each other forever.
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -218,7 +218,7 @@
     auto it = reply.Groups.find(group);
     if (it == reply.Groups.end())
       continue;
-    evidence.Peers.push_back({node, reply.StoreReachable,
+    evidence.Peers.push_back({node, reply.CanCoordinate,
                               it->second.FailoverInProgress,
                               it->second.PrimaryReplyAge});
   }
@@ -239,7 +239,7 @@
     return;
   cluster::FailoverEvidence evidence = collected;
   evidence.Own = Access.Observe(group);
-  evidence.SelfStoreReachable = Cluster->isStoreReachable();
+  evidence.SelfCanCoordinate = Cluster->canCoordinate();
   evidence.DutyHolder = Cluster->view().Duty.Value.Holder;
   cluster::FailoverVerdict verdict = cluster::decideFailover(evidence);
   std::size_t confirming =
@@ -265,7 +265,8 @@
 
 void FailoverService::writeIntents() {
   auto due = std::exchange(DueIntents, {});
-  if (WritePending)
+  // The groups are announced again while they need a failover.
+  if (WritePending || !Cluster->mayHoldDuty())
     return;
   const auto &duty = Cluster->view().Duty;
   cluster::DutyRecord newDuty{
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -130,7 +130,7 @@
     if (evidence.PrimaryReplyAge)
       groups[group]["heard_ms"] = evidence.PrimaryReplyAge->count();
   }
-  return json{{"store", it.StoreReachable}, {"groups", groups}}.dump();
+  return json{{"store", it.CanCoordinate}, {"groups", groups}}.dump();
 }
 
 std::string encode(const EvidenceRequest &it) {
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -95,7 +95,7 @@
 struct EvidenceReply {
   /// The replying node itself has read the records from the store within the
   /// last two seconds.
-  bool StoreReachable = false;
+  bool CanCoordinate = false;
   std::map<base::GroupName, GroupEvidence> Groups;
 };
 
