Write values of log lines in one place

EventLog and LineLog each had the code that quotes a value. Both had to be changed when control characters were to be replaced; they are the same now, so appendLogValue() serves both. No line changes.

--- a/baobabpin/kernel/EventLog.cpp
+++ b/baobabpin/kernel/EventLog.cpp
@@ -1,40 +1,22 @@
 #include "baobabpin/kernel/EventLog.h"
 
-#include "baobabpin/base/Word.h"
+#include "baobabpin/kernel/internal/LogValue.h"
 
 #include <glog/logging.h>
 
 #include <algorithm>
 
 namespace baobabpin::kernel {
-namespace {
-
-void appendValue(std::string &line, const std::string &value) {
-  if (!value.empty() && !base::hasControl(value) &&
-      value.find_first_of(" \"=") == std::string::npos) {
-    line += value;
-    return;
-  }
-  line += '"';
-  for (char c : value) {
-    if (c == '"' || c == '\\')
-      line += '\\';
-    line += base::isControl(c) ? ' ' : c;
-  }
-  line += '"';
-}
-
-} // namespace
 
 std::string formatEvent(const std::string &process, const LoggedEvent &event) {
   std::string line = "ts=" + std::to_string(event.Stamp.WallUs) + "." +
                      std::to_string(event.Stamp.Counter);
   line += " process=";
-  appendValue(line, process);
+  internal::appendLogValue(line, process);
   line += " event=" + event.Name;
   for (const auto &[key, value] : event.Fields) {
     line += " " + key + "=";
-    appendValue(line, value);
+    internal::appendLogValue(line, value);
   }
   return line;
 }
--- a/baobabpin/kernel/LineLog.cpp
+++ b/baobabpin/kernel/LineLog.cpp
@@ -1,6 +1,6 @@
 #include "baobabpin/kernel/LineLog.h"
 
-#include "baobabpin/base/Word.h"
+#include "baobabpin/kernel/internal/LogValue.h"
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -42,19 +42,7 @@
   Text += ' ';
   Text += key;
   Text += '=';
-  bool isPlain = !value.empty() && !base::hasControl(value) &&
-                 value.find_first_of(" \"=") == std::string_view::npos;
-  if (isPlain) {
-    Text += value;
-    return *this;
-  }
-  Text += '"';
-  for (char c : value) {
-    if (c == '"' || c == '\\')
-      Text += '\\';
-    Text += base::isControl(c) ? ' ' : c;
-  }
-  Text += '"';
+  internal::appendLogValue(Text, value);
   return *this;
 }
 
