Use isLeaving() throughout GroupProxy, and correct a comment

GroupProxy asked the cluster directly in two places beside its own isLeaving(). The comment of EvidenceReply::CanCoordinate still described the earlier meaning. A test used a command of the platform as an example of an Id with a line break; any text after the line break does, and the check is the same.

--- a/baobabpin/control/MalformedMessagesTest.cpp
+++ b/baobabpin/control/MalformedMessagesTest.cpp
@@ -178,7 +178,7 @@
     reply.Servers->push_back(valid);
     change(reply.Servers->back());
   };
-  add([](auto &it) { it.Id = "s2\r\nQUERY - STEPDOWN 9"; });
+  add([](auto &it) { it.Id = "s2\r\nother message"; });
   add([](auto &it) { it.Group = "g\nx"; });
   add([](auto &it) { it.Zone = ""; });
   add([](auto &it) { it.Address = {"300.1.2.3", 80}; });
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -94,7 +94,7 @@
 
 struct EvidenceReply {
   /// The replying node itself has read the records from the store within the
-  /// last two seconds.
+  /// last two seconds, and may take the promotion duty.
   bool CanCoordinate = false;
   std::map<base::GroupName, GroupEvidence> Groups;
 };
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -154,8 +154,7 @@
   std::vector<cluster::ReadCandidate> candidates;
   for (const auto &[id, pool] : Pools) {
     const auto &condition = pool->condition();
-    if (excluded.contains(id) || condition.WrongIdentity ||
-        Cluster.leavingSince(id))
+    if (excluded.contains(id) || condition.WrongIdentity || isLeaving(id))
       continue;
     cluster::ReadCandidate it;
     it.SameZone = pool->server().Zone == Zone;
@@ -199,7 +198,7 @@
 void GroupProxy::tick() {
   auto now = base::BootClock::now();
   for (const auto &[id, pool] : Pools) {
-    if (!Cluster.leavingSince(id))
+    if (!isLeaving(id))
       pool->maintain(now);
   }
   auto choice = primary();
