Carry the organisation of a statement to the server connection

Servers must be told for which organisation a connection is used, and a connection opened for one must serve no other. Nothing sets an organisation yet, so nothing changes on the wire; the relay omits an empty organisation.

--- a/baobabpin/base/Identifiers.h
+++ b/baobabpin/base/Identifiers.h
@@ -12,6 +12,9 @@
 using ServerId = std::string;
 /// Name of a database group, for example "lending-ledger-0".
 using GroupName = std::string;
+/// Name of an organisation, whose callers share access keys and a quota. Empty
+/// for work that is done for none.
+using OrganisationName = std::string;
 /// Name of an availability zone, for example "kr-central-a".
 using AvailabilityZone = std::string;
 /// Idempotency key of a write: "<unix ms>-<32 hex digits>".
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -38,6 +38,28 @@
   std::chrono::milliseconds MaxStaleness{0};
   /// 0 is the highest priority.
   int Priority = 0;
+  /// Clients need no access key, also where the configuration has
+  /// organisations.
+  bool Public = false;
+};
+
+/// The rate limit of an organisation, counted in operations over all nodes. An
+/// operation is a transaction or a statement outside of one.
+struct RateLimit {
+  /// Operations per second.
+  double Rate = 0;
+  /// The operations that may come at once after a quiet period.
+  double Burst = 0;
+
+  bool operator==(const RateLimit &) const = default;
+};
+
+/// An organisation whose callers use the proxy.
+struct Organisation {
+  base::OrganisationName Name;
+  std::vector<std::string> AccessKeys;
+  /// Empty if the organisation may send any number of operations.
+  std::optional<RateLimit> Limit;
 };
 
 /// The settings of one database group: a primary and its replicas.
@@ -55,6 +77,10 @@
   std::uint64_t Version = 0;
   std::map<std::string, Route> RoutesByDatabase;
   std::map<base::GroupName, GroupConfig> Groups;
+  /// Empty unless the operator has declared organisations. If it is not empty,
+  /// clients of routes that are not public need an access key, also when it
+  /// holds no organisation.
+  std::optional<std::map<base::OrganisationName, Organisation>> Organisations;
   /// A transaction may be aborted when it runs no statement for this long.
   std::chrono::milliseconds TransactionIdle{3000};
 };
--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -18,6 +18,7 @@
   run.Route.Group = request.Group;
   run.Route.Reads = request.Reads;
   run.Route.Priority = request.Priority;
+  run.Organisation = request.Organisation;
   run.Route.StatementTimeout = request.TimeLeft;
   run.Arrived = base::BootClock::now();
   run.FreshAsOf = run.Arrived;
--- a/baobabpin/frontend/RunTypes.h
+++ b/baobabpin/frontend/RunTypes.h
@@ -38,6 +38,8 @@
   std::string Id;
   sql::Statement Statement;
   cluster::Route Route;
+  /// The organisation for which the statement runs, or empty.
+  base::OrganisationName Organisation;
   base::BootTime Arrived{};
   /// The time from which staleness is measured: the beginning of the
   /// transaction, or the arrival of a statement outside of a transaction.
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -230,6 +230,7 @@
   Waiter = std::make_shared<pooling::Waiter>();
   Waiter->Kind = Request.Begin ? pooling::WorkKind::Transaction
                                : pooling::WorkKind::Statement;
+  Waiter->Organisation = Request.Organisation;
   Waiter->Priority = Request.Route.Priority;
   Waiter->Deadline = Deadline;
   Waiter->Values = &Request.Values;
@@ -384,6 +385,7 @@
   request.StatementId = Request.Id;
   request.Statement = Request.Statement;
   request.Database = Request.Route.Database;
+  request.Organisation = Request.Organisation;
   request.Reads = Request.Route.Reads;
   request.Priority = Request.Route.Priority;
   RelayedAt = base::BootClock::now();
--- a/baobabpin/pooling/ServerConnection.cpp
+++ b/baobabpin/pooling/ServerConnection.cpp
@@ -13,15 +13,17 @@
 
 std::shared_ptr<ServerConnection>
 ServerConnection::open(kernel::EventLoop &loop, const http::Endpoint &endpoint,
-                       const std::string &group, const std::string &server,
-                       OpenCallback callback) {
+                       const std::string &group,
+                       const base::OrganisationName &organisation,
+                       const std::string &server, OpenCallback callback) {
   std::shared_ptr<ServerConnection> it(new ServerConnection);
+  it->Organisation = organisation;
   it->OnOpen = std::move(callback);
   it->Connection = net::LineConnection::connect(
       loop, endpoint,
       net::makeWeakHandlers(it, &ServerConnection::onLine,
                             &ServerConnection::onClosed));
-  it->Connection->send(platform::formatConnect(group, server));
+  it->Connection->send(platform::formatConnect(group, organisation, server));
   it->OpenDeadline = loop.runAfter(OpenTimeout, [weak = std::weak_ptr(it)] {
     if (auto self = weak.lock())
       self->onClosed();
--- a/baobabpin/pooling/ServerConnection.h
+++ b/baobabpin/pooling/ServerConnection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobabpin/base/BootClock.h"
+#include "baobabpin/base/Identifiers.h"
 #include "baobabpin/net/LineConnection.h"
 #include "baobabpin/pooling/PoolPolicy.h"
 #include "platform/Wire.h"
@@ -35,11 +36,12 @@
   using OpenCallback = std::function<void(std::optional<sql::ErrorCode>)>;
   using BatchCallback = std::function<void(std::vector<sql::Reply>)>;
 
-  static std::shared_ptr<ServerConnection> open(kernel::EventLoop &loop,
-                                                const http::Endpoint &endpoint,
-                                                const std::string &group,
-                                                const std::string &server,
-                                                OpenCallback callback);
+  /// \p organisation is the one on whose behalf the connection is opened, or
+  /// empty. The connection must serve no other.
+  static std::shared_ptr<ServerConnection>
+  open(kernel::EventLoop &loop, const http::Endpoint &endpoint,
+       const std::string &group, const base::OrganisationName &organisation,
+       const std::string &server, OpenCallback callback);
   ~ServerConnection();
 
   /// Sends \p lines, which contain \p count statements. The callback gets one
@@ -59,6 +61,8 @@
   base::BootTime sentAt() const { return SentAt; }
   base::BootTime idleSince() const { return IdleSince; }
 
+  /// The organisation for which the connection was opened, or empty.
+  base::OrganisationName Organisation;
   ConnectionSessionState Session;
   /// The kind of work that the connection was last granted for.
   WorkKind GrantedFor = WorkKind::Statement;
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -173,7 +173,7 @@
 void ServerPool::openOne() {
   auto holder = std::make_shared<std::weak_ptr<ServerConnection>>();
   ServerConnectionPtr connection = ServerConnection::open(
-      Loop, Server.Address, Server.Group, Server.Id,
+      Loop, Server.Address, Server.Group, {}, Server.Id,
       [this, holder](std::optional<sql::ErrorCode> error) {
         if (ServerConnectionPtr it = holder->lock())
           onOpened(it, error);
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -27,6 +27,9 @@
 /// number first, then by deadline.
 struct Waiter {
   WorkKind Kind = WorkKind::Statement;
+  /// The organisation for which the work runs, or empty. It gets a connection
+  /// that was opened for the same organisation.
+  base::OrganisationName Organisation;
   int Priority = 0;
   /// Work that is unlikely to be done by this time is refused at once. Work
   /// without a deadline waits until it is granted or cancelled.
--- a/baobabpin/relay/Messages.cpp
+++ b/baobabpin/relay/Messages.cpp
@@ -43,6 +43,8 @@
   body["id"] = it.StatementId;
   body["statement"] = toJson(it.Statement);
   body["database"] = it.Database;
+  if (!it.Organisation.empty())
+    body["organisation"] = it.Organisation;
   body["reads"] = static_cast<int>(it.Reads);
   body["priority"] = it.Priority;
   body["left_ms"] = it.TimeLeft.count();
@@ -63,6 +65,7 @@
   it.StatementId = body.at("id").get<std::string>();
   it.Statement = statementFrom(body.at("statement"));
   it.Database = body.at("database").get<std::string>();
+  it.Organisation = body.value("organisation", std::string());
   it.Reads = enumFrom(body.at("reads"), cluster::Consistency::ReadYourWrites);
   it.Priority = body.at("priority").get<int>();
   it.TimeLeft =
@@ -102,7 +105,7 @@
   it.State = enumFrom(body.at("state"), sql::TransactionState::Failed);
   it.Lost = body.value("lost", false);
   if (body.contains("error"))
-    it.Error = enumFrom(body["error"], sql::ErrorCode::Malformed);
+    it.Error = enumFrom(body["error"], sql::ErrorCode::Denied);
   it.ErrorText = body.value("text", std::string());
   it.Signature = body.value("signature", std::string());
   if (body.contains("rows"))
--- a/baobabpin/relay/Messages.h
+++ b/baobabpin/relay/Messages.h
@@ -45,6 +45,9 @@
   std::string StatementId;
   sql::Statement Statement;
   std::string Database;
+  /// The organisation for which the statement runs, or empty. Sent only when
+  /// it is not empty.
+  base::OrganisationName Organisation;
   cluster::Consistency Reads = cluster::Consistency::Strict;
   int Priority = 0;
   /// The time left until the deadline of the statement.
--- a/baobabpin/relay/MessagesTest.cpp
+++ b/baobabpin/relay/MessagesTest.cpp
@@ -42,6 +42,13 @@
   CHECK(got->Begin == sql::Verb::Begin);
   CHECK(got->TimeLeft == 640ms);
   CHECK(got->Writes);
+  CHECK(got->Organisation.empty());
+  CHECK(encode(sent).find("organisation") == std::string::npos);
+
+  SUBCASE("the organisation is sent if there is one") {
+    sent.Organisation = "miny420";
+    CHECK(decodeRequest(encode(sent))->Organisation == "miny420");
+  }
 
   SUBCASE("bytes that are not valid UTF-8 arrive unchanged") {
     // Data of clients may contain any bytes, but JSON strings must be UTF-8.
--- a/baobabpin/sql/Statement.h
+++ b/baobabpin/sql/Statement.h
@@ -61,6 +61,8 @@
   UnknownDatabase,
   UnknownName,
   Malformed,
+  /// The client's access key names no organisation.
+  Denied,
 };
 
 /// Whether \p code guarantees that the failed statement or transaction had no
