Check access keys, and refuse them when their withdrawal may be unknown

A session's key is looked up in an index of the configuration at the start of the session and with each statement, and never leaves the session. A configuration that the store holds and that cannot be read confirms nothing. When the configuration changes, transactions of a withdrawn key are aborted and statements that no server has received end.

--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -80,6 +80,11 @@
   const cluster::Configuration *configuration() const {
     return Config->configuration();
   }
+  /// Returns the time at which the configuration was last known to be the
+  /// newest one.
+  base::BootTime configurationConfirmedAt() const {
+    return Config->confirmedAt();
+  }
   const std::map<base::ServerId, cluster::ServerRegistration> &servers() const {
     return Directory.servers();
   }
--- a/baobabpin/control/ConfigDistribution.cpp
+++ b/baobabpin/control/ConfigDistribution.cpp
@@ -73,25 +73,28 @@
     readStore();
     return;
   }
-  ConfirmedAt = std::max(ConfirmedAt, sentAt);
-  if (!reply.Entry)
-    return;
-  SeenAt.Revision = reply.Entry->Revision;
-  adopt({.StoredAt = SeenAt, .Text = reply.Entry->Value}, "store");
+  if (reply.Entry) {
+    SeenAt.Revision = reply.Entry->Revision;
+    NewestUnreadable = adopt({.StoredAt = SeenAt, .Text = reply.Entry->Value},
+                             "store") == Adoption::Unreadable;
+  }
+  if (!NewestUnreadable)
+    ConfirmedAt = std::max(ConfirmedAt, sentAt);
 }
 
-bool ConfigDistribution::adopt(distribution::Document document,
-                               std::string_view source) {
+ConfigDistribution::Adoption
+ConfigDistribution::adopt(distribution::Document document,
+                          std::string_view source) {
   auto fresh = platform::parseConfiguration(document.Text);
   bool matches =
       fresh && (document.Version == 0 || document.Version == fresh->Version);
   if (!matches) {
     Log.line("configuration_unreadable").add("source", source);
-    return false;
+    return Adoption::Unreadable;
   }
   // A configuration in force is never replaced by an older one.
   if (fresh->Version <= version())
-    return false;
+    return Adoption::NotNewer;
   Log.line("configuration_applied")
       .add("version", static_cast<std::int64_t>(fresh->Version))
       .add("routes", static_cast<std::int64_t>(fresh->RoutesByDatabase.size()))
@@ -104,8 +107,9 @@
   WholeTextWanted = false;
   if (version() >= OfferedVersion)
     ConfirmedAt = std::max(ConfirmedAt, OfferedNewestAt);
+  NewestUnreadable = false;
   OnAdopted();
-  return true;
+  return Adoption::Adopted;
 }
 
 void ConfigDistribution::onPeerVersion(const PeerNode &peer,
@@ -188,7 +192,7 @@
     base = Archive.newest();
   auto document = distribution::applyPatch(
       base, {complete.Header, std::move(complete.Bytes)});
-  if (document && adopt(std::move(*document), source)) {
+  if (document && adopt(std::move(*document), source) == Adoption::Adopted) {
     SourceIndex = 0;
     return;
   }
--- a/baobabpin/control/ConfigDistribution.h
+++ b/baobabpin/control/ConfigDistribution.h
@@ -48,7 +48,8 @@
   /// Returns 0 until a configuration is known.
   std::uint64_t version() const { return Archive.newest().Version; }
   /// Returns the time at which the configuration was last known to be the
-  /// newest one.
+  /// newest one: when the store was asked that had nothing newer, or a peer
+  /// that knew of nothing newer.
   base::BootTime confirmedAt() const { return ConfirmedAt; }
   /// Returns whether a transfer from a peer is making progress.
   bool isFetching(base::BootTime now) const;
@@ -73,10 +74,10 @@
   /// Uses the next source if the present one has made no progress for a while.
   void retryPiece(base::BootTime now);
   void completeTransfer(const std::string &source);
-  /// Returns false, and changes nothing, unless the document is readable and
-  /// newer than the present one. A document of version 0 has the version that
-  /// its text states.
-  bool adopt(distribution::Document document, std::string_view source);
+  enum class Adoption { Adopted, NotNewer, Unreadable };
+  /// Changes nothing unless the document is readable and newer than the present
+  /// one. A document of version 0 has the version that its text states.
+  Adoption adopt(distribution::Document document, std::string_view source);
 
   kernel::EventLoop &Loop;
   platform::PlatformStore &Store;
@@ -92,6 +93,9 @@
   /// Where the store had the last entry that it returned, which may have been
   /// unreadable.
   base::StorePosition SeenAt;
+  /// The store's newest entry could not be read. Until it is replaced, the
+  /// present configuration is not known to be the newest one.
+  bool NewestUnreadable = false;
 
   distribution::PatchTransfer Transfer;
   /// The newest version that a peer has reported.
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -67,7 +67,9 @@
 
 FrontendService::FrontendService(platform::HostSettings settings,
                                  kernel::LineLog &log)
-    : Settings(std::move(settings)), Log(log) {}
+    : Settings(std::move(settings)), Log(log) {
+  Access.RevocationLimit = Settings.RevocationLimit;
+}
 
 FrontendService::~FrontendService() = default;
 
@@ -82,7 +84,10 @@
              std::chrono::nanoseconds took) {
         countStatement(route, reply, took);
       },
-      [this](Session *session) { removeSession(session); }});
+      [this](Session *session) { removeSession(session); },
+      [this](const cluster::Route &route, std::string_view key) {
+        return authorize(route, key);
+      }});
   Cluster->subscribe([this] { onClusterChanged(); });
   Readiness = std::make_unique<http::HttpServer>(loop);
   Readiness->handle(
@@ -153,6 +158,8 @@
   const auto *config = Cluster->configuration();
   if (!config || !Channels)
     return;
+  if (config->Version != AccessVersion)
+    adoptAccessKeys(*config);
   Channels->refresh();
   for (const auto &[name, it] : config->Groups) {
     auto &group = Groups[name];
@@ -164,6 +171,34 @@
     it->refresh();
 }
 
+void FrontendService::adoptAccessKeys(const cluster::Configuration &config) {
+  AccessVersion = config.Version;
+  bool hadKeys = Access.Keys.has_value();
+  Access.Keys.reset();
+  if (config.Organisations) {
+    Access.Keys =
+        organisation::indexAccessKeys(*config.Organisations, KeySecret);
+    Log.line("access_keys")
+        .add("version", static_cast<std::int64_t>(config.Version))
+        .add("organisations",
+             static_cast<std::int64_t>(config.Organisations->size()))
+        .add("keys", static_cast<std::int64_t>(Access.Keys->Entries.size()))
+        .add("ambiguous",
+             static_cast<std::int64_t>(Access.Keys->AmbiguousCount));
+  }
+  if (!hadKeys && !Access.Keys)
+    return;
+  auto sessions = Sessions;
+  for (const auto &[raw, it] : sessions)
+    it->recheckAccess();
+}
+
+organisation::Authorization
+FrontendService::authorize(const cluster::Route &route, std::string_view key) {
+  Access.ConfirmedAt = Cluster->configurationConfirmedAt();
+  return organisation::authorize(Access, route, key, base::BootClock::now());
+}
+
 void FrontendService::tick() {
   Channels->tick(base::BootClock::now());
   for (const auto &[name, it] : Groups)
--- a/baobabpin/frontend/FrontendService.h
+++ b/baobabpin/frontend/FrontendService.h
@@ -53,6 +53,11 @@
   void countStatement(const cluster::Route &route, const sql::Reply &reply,
                       std::chrono::nanoseconds took);
   void removeSession(Session *session);
+  /// Indexes the access keys of a new configuration, and checks the sessions
+  /// against them.
+  void adoptAccessKeys(const cluster::Configuration &config);
+  organisation::Authorization authorize(const cluster::Route &route,
+                                        std::string_view key);
 
   platform::HostSettings Settings;
   kernel::LineLog &Log;
@@ -66,6 +71,10 @@
   std::unique_ptr<http::HttpServer> Metrics;
   std::map<base::GroupName, std::shared_ptr<GroupProxy>> Groups;
   std::unordered_map<Session *, SessionPtr> Sessions;
+  organisation::HashSecret KeySecret = organisation::drawHashSecret();
+  organisation::AuthorizationState Access;
+  /// The version of the configuration from which Access was made.
+  std::uint64_t AccessVersion = 0;
   kernel::Timer Ticker;
   kernel::Timer IdleTransactionTimer;
   kernel::Timer DrainTicker;
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -5,6 +5,7 @@
 namespace baobabpin::frontend {
 namespace {
 
+using organisation::Access;
 using sql::ErrorCode;
 using sql::TransactionState;
 using sql::Verb;
@@ -26,6 +27,12 @@
          it.Kind == Verb::Execute;
 }
 
+/// Whether a statement is, or prepares, work of a server.
+bool needsAccess(const sql::Statement &it) {
+  return runsAtServer(it) || it.Kind == Verb::Begin ||
+         it.Kind == Verb::BeginReadOnly || it.Kind == Verb::Commit;
+}
+
 } // namespace
 
 Session::Session(SessionContext &context, int fd) : Context(context), Fd(fd) {}
@@ -94,6 +101,7 @@
     return;
   }
   Database = open.Database;
+  AccessKey = open.AccessKey;
   OpenRequestedAt = base::BootClock::now();
   finishOpen();
 }
@@ -114,6 +122,12 @@
     return;
   }
   if (route()) {
+    auto access = authorize().Result;
+    if (access != Access::Granted) {
+      refuseOpen(access == Access::Denied ? ErrorCode::Denied : ErrorCode::Busy,
+                 organisation::accessName(access));
+      return;
+    }
     Opened = true;
     Connection->send(platform::formatReady(TransactionState::Idle));
     processNext();
@@ -134,6 +148,13 @@
   end();
 }
 
+organisation::Authorization Session::authorize() const {
+  const cluster::Route *current = Transaction ? &Transaction->Route : route();
+  if (!current)
+    return {};
+  return Context.Authorize(*current, AccessKey);
+}
+
 const cluster::Route *Session::route() const {
   const auto *config = Context.Cluster.configuration();
   if (!config)
@@ -169,6 +190,8 @@
     replyError(ErrorCode::Malformed, "statement");
     return;
   }
+  if (refuseWithoutAccess(*statement))
+    return;
   if (Transaction && !Transaction->PendingAbort.empty() &&
       statement->Kind != Verb::Rollback) {
     std::string reason = std::exchange(Transaction->PendingAbort, {});
@@ -186,6 +209,46 @@
   execute(query.Id, std::move(*statement));
 }
 
+bool Session::refuseWithoutAccess(const sql::Statement &it) {
+  auto access = authorize();
+  if (access.Result == Access::Denied) {
+    denyAndClose();
+    return true;
+  }
+  if (Transaction && !Transaction->Failed && access.Result == Access::Granted &&
+      access.Organisation != Transaction->Organisation)
+    abortTransaction("organisation_changed");
+  if (access.Result != Access::Unconfirmed || !needsAccess(it))
+    return false;
+  failTransaction();
+  if (it.Kind == Verb::Commit)
+    Transaction.reset();
+  replyError(ErrorCode::Busy, organisation::accessName(access.Result));
+  return true;
+}
+
+void Session::denyAndClose() {
+  Context.Log.line("session_denied").add("database", Database);
+  endTransaction();
+  replyError(ErrorCode::Denied, organisation::accessName(Access::Denied));
+  Connection->closeAfterSending();
+  end();
+}
+
+void Session::recheckAccess() {
+  if (!Opened || Ended)
+    return;
+  auto access = authorize();
+  if (access.Result == Access::Unconfirmed)
+    return;
+  bool denied = access.Result == Access::Denied;
+  if (Transaction &&
+      (denied || access.Organisation != Transaction->Organisation))
+    abortTransaction("access_changed");
+  if (auto run = Run; run && (denied || access.Organisation != RunOrganisation))
+    run->withdraw();
+}
+
 bool Session::refuseWhileStopping(const sql::Statement &it) {
   if (Transaction)
     return false;
@@ -245,6 +308,8 @@
     }
     Transaction = OpenTransaction{};
     Transaction->Route = *current;
+    Transaction->Organisation =
+        Context.Authorize(*current, AccessKey).Organisation;
     Transaction->ReadOnly = it.Kind == Verb::BeginReadOnly;
     Transaction->Began = now;
     Transaction->LastActive = now;
@@ -288,6 +353,8 @@
     return;
   }
   request.Route = *current;
+  request.Organisation =
+      Transaction ? Transaction->Organisation : authorize().Organisation;
   auto group = Context.Group(current->Group);
   if (!group) {
     replyError(ErrorCode::Busy, "unknown group");
@@ -313,6 +380,7 @@
   } else if (Transaction) {
     request.Begin = Transaction->ReadOnly ? Verb::BeginReadOnly : Verb::Begin;
   }
+  RunOrganisation = request.Organisation;
   request.Statement = std::move(it);
   Verb verb = request.Statement.Kind;
   auto onDone = [weak = weak_from_this(), route = *current, verb,
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -8,6 +8,7 @@
 
 #include "baobabpin/frontend/StatementRun.h"
 #include "baobabpin/net/LineConnection.h"
+#include "baobabpin/organisation/Authorization.h"
 #include "platform/Wire.h"
 
 #include <deque>
@@ -42,6 +43,10 @@
                      std::chrono::nanoseconds)>
       OnStatement;
   std::function<void(Session *)> OnEnded;
+  /// Decides whether a client with this access key may use the route now.
+  std::function<organisation::Authorization(const cluster::Route &,
+                                            std::string_view key)>
+      Authorize;
   StopProgress Stop = {};
 };
 
@@ -60,6 +65,10 @@
   /// error with its next statement; the error tells it that the transaction had
   /// no effect.
   void abortTransaction(std::string_view reason);
+  /// Checks the client's access key after the configuration changed. If the
+  /// session may not go on for the same organisation, its transaction is
+  /// aborted, and a statement that no server has received is not run.
+  void recheckAccess();
   /// Answers the statement in progress, if there is one, with what is known of
   /// its outcome: it was not sent to a server, or its reply has not arrived.
   void answerNow();
@@ -71,6 +80,7 @@
   /// A transaction from BEGIN to COMMIT or ROLLBACK.
   struct OpenTransaction {
     cluster::Route Route;
+    base::OrganisationName Organisation;
     bool ReadOnly = false;
     bool Failed = false;
     bool Wrote = false;
@@ -101,6 +111,14 @@
   void failTransaction();
   void endTransaction();
   void releaseTransactionConnection();
+  /// Refuses a statement that the client's access key does not allow, and
+  /// returns whether it did.
+  bool refuseWithoutAccess(const sql::Statement &it);
+  /// Answers that the access key is not valid, and closes the session.
+  void denyAndClose();
+  /// The result for the route of the transaction or, outside of one, of the
+  /// database.
+  organisation::Authorization authorize() const;
   /// The route of this session's database, if it is configured.
   const cluster::Route *route() const;
   sql::TransactionState state() const;
@@ -116,6 +134,7 @@
   int Fd = -1;
   std::shared_ptr<net::LineConnection> Connection;
   std::string Database;
+  std::string AccessKey;
   bool Opened = false;
   /// The client was asked to close the session. Its next statement is not run
   /// and resets this flag; other messages are ignored.
@@ -127,6 +146,8 @@
   std::map<std::string, PreparedStatement> Prepared;
   std::optional<OpenTransaction> Transaction;
   std::shared_ptr<StatementRun> Run;
+  /// The organisation for which Run works.
+  base::OrganisationName RunOrganisation;
   std::optional<base::LogPosition> OwnCommit;
   std::uint64_t OwnEpoch = 0;
   base::BootTime OpenRequestedAt{};
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -582,6 +582,14 @@
   finish(Request.Writes ? ErrorCode::InDoubt : ErrorCode::TimedOut, reason);
 }
 
+void StatementRun::withdraw() {
+  // The owner of the connections may still hold a relayed statement, and is
+  // told that it is not wanted. A write may have taken effect by now.
+  bool mayHaveRun = Sent && (!RelayChannel || Request.Writes);
+  if (!mayHaveRun && !isPinned())
+    finish(ErrorCode::Denied, "access_withdrawn");
+}
+
 void StatementRun::releaseConnection() {
   // Changing RelayAttempt makes a later reply to this attempt ignored.
   if (auto channel = std::exchange(RelayChannel, nullptr)) {
@@ -603,17 +611,12 @@
   finish(std::move(result), reason);
 }
 
-void StatementRun::finish(RunResult result, std::string_view reason) {
-  auto callback = std::exchange(OnDone, nullptr);
-  if (!callback)
-    return;
-  auto self = shared_from_this();
-  auto now = base::BootClock::now();
-  stopWaiting();
-  Log.line("statement")
-      .add("id", Request.Id)
-      .add("database", Request.Route.Database)
-      .add("outcome", reason)
+void StatementRun::logOutcome(std::string_view reason, base::BootTime now) {
+  auto line = Log.line("statement");
+  line.add("id", Request.Id).add("database", Request.Route.Database);
+  if (!Request.Organisation.empty())
+    line.add("organisation", Request.Organisation);
+  line.add("outcome", reason)
       .add("server", Pool ? Pool->server().Id : "none")
       .add("epoch", static_cast<std::int64_t>(Epoch))
       .add("position", WaitFor ? platform::formatLogPosition(*WaitFor) : "none")
@@ -621,6 +624,16 @@
       .add("waited_ms",
            (GrantedAt > Request.Arrived ? GrantedAt : now) - Request.Arrived)
       .add("took_ms", now - Request.Arrived);
+}
+
+void StatementRun::finish(RunResult result, std::string_view reason) {
+  auto callback = std::exchange(OnDone, nullptr);
+  if (!callback)
+    return;
+  auto self = shared_from_this();
+  auto now = base::BootClock::now();
+  stopWaiting();
+  logOutcome(reason, now);
   if (Connection && Committing)
     waitForCommit();
   else
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -33,6 +33,9 @@
   /// Ends the statement with the result that is true now: it did not run if it
   /// was not sent to a server, and is in doubt or timed out otherwise.
   void giveUp(std::string_view reason);
+  /// Ends the statement because its client may not run it any more, unless it
+  /// may already have been sent to a server.
+  void withdraw();
 
 private:
   /// Chooses a server for the statement, again after each failed attempt.
@@ -72,6 +75,7 @@
   void waitForCommit();
   void finish(sql::ErrorCode code, std::string_view reason);
   void finish(RunResult result, std::string_view reason);
+  void logOutcome(std::string_view reason, base::BootTime now);
   bool isPinned() const { return Request.Pinned.isOpen(); }
   bool isStillPrimary() const;
 
