Share the connections of a server between organisations

A connection that was opened for one organisation must serve no other. With 74 organisations and 42 connections that an owner may hold, connections are the scarce good: idle ones of quiet organisations are closed in favour of waiting work, the last ones are reserved for organisations that hold none, and organisations with work of the same priority take turns by their rate limits (weighted fair queueing, at least the average share).

Connections are opened for at most half of the server's slots at a time, and one at a time after the server refused one: a refused connection costs the server as much as an accepted one. A transaction whose client rests for eight times the usual rest is aborted if other work waits for a connection and none can be opened; the server rolls it back.

Weighed: the organisation with the fewest connections in use first (a large organisation then waits behind every small one at its usual load), and plain shares by rate (the second request of a small organisation then waits for tens of turns).

--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -1,5 +1,6 @@
 #include "baobabpin/frontend/GroupProxy.h"
 
+#include "baobabpin/cluster/OrganisationShares.h"
 #include "baobabpin/cluster/ReplicaChoice.h"
 #include "platform/Wire.h"
 
@@ -45,6 +46,10 @@
 GroupProxy::~GroupProxy() = default;
 
 void GroupProxy::refresh() {
+  const auto *config = Cluster.configuration();
+  if (config &&
+      std::exchange(SharesVersion, config->Version) != config->Version)
+    OrganisationShares = cluster::organisationShares(*config);
   for (const auto &[id, server] : Cluster.servers()) {
     if (server.Group != Name)
       continue;
@@ -140,6 +145,12 @@
   });
 }
 
+double GroupProxy::organisationShare(
+    const base::OrganisationName &organisation) const {
+  auto it = OrganisationShares.find(organisation);
+  return it == OrganisationShares.end() ? 1 : it->second;
+}
+
 PoolPtr GroupProxy::pool(const base::ServerId &id) const {
   auto it = Pools.find(id);
   return it == Pools.end() ? nullptr : it->second;
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -110,6 +110,10 @@
   /// arrive.
   admission::RetryBudget &slowReadBudget() { return SlowReadBudget; }
 
+  /// The share of an organisation in the servers of the group, relative to the
+  /// others.
+  double organisationShare(const base::OrganisationName &organisation) const;
+
   cluster::PrimaryObservation primaryObservation() const;
   /// Time since the primary last replied to this node or, as far as this node
   /// knows, to the owner of its connections. The time at which this node began
@@ -146,6 +150,9 @@
   std::list<std::weak_ptr<std::function<void()>>> WaitingForPrimary;
   admission::RetryBudget SlowReadBudget{
       .PerRequest = 0.1, .Burst = SlowReadBurst, .Tokens = SlowReadBurst};
+  /// The shares of the configuration of version SharesVersion.
+  std::map<base::OrganisationName, double> OrganisationShares;
+  std::uint64_t SharesVersion = 0;
   int CommitsInFlight = 0;
   std::list<std::function<void()>> DrainCallbacks;
   std::uint64_t LastEpoch = 0;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -231,6 +231,7 @@
   Waiter->Kind = Request.Begin ? pooling::WorkKind::Transaction
                                : pooling::WorkKind::Statement;
   Waiter->Organisation = Request.Organisation;
+  Waiter->Share = Group->organisationShare(Request.Organisation);
   Waiter->Priority = Request.Route.Priority;
   Waiter->Deadline = Deadline;
   Waiter->Values = &Request.Values;
--- /dev/null
+++ b/baobabpin/pooling/OrganisationPolicy.cpp
@@ -0,0 +1,119 @@
+#include "baobabpin/pooling/OrganisationPolicy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabpin::pooling {
+namespace {
+
+/// One connection in this many is reserved for organisations that hold none.
+constexpr int ReserveDivisor = 8;
+constexpr double MinShare = 1e-3;
+
+OrganisationUse useOf(const OrganisationUses &uses,
+                      const base::OrganisationName &organisation) {
+  auto it = uses.find(organisation);
+  return it == uses.end() ? OrganisationUse{} : it->second;
+}
+
+} // namespace
+
+double turnOf(const FairTurns &turns,
+              const base::OrganisationName &organisation) {
+  auto it = turns.Next.find(organisation);
+  return it == turns.Next.end() ? turns.Present
+                                : std::max(turns.Present, it->second);
+}
+
+void recordTurn(FairTurns &turns, const base::OrganisationName &organisation,
+                double share) {
+  turns.Present = turnOf(turns, organisation);
+  turns.Next[organisation] = turns.Present + 1 / std::max(share, MinShare);
+}
+
+std::optional<std::size_t>
+chooseToServe(const std::vector<WaitingWork> &waiting,
+              const OrganisationUses &uses) {
+  bool anyIdle = std::ranges::any_of(
+      uses, [](const auto &it) { return it.second.Idle > 0; });
+  std::optional<std::size_t> best;
+  std::pair<int, double> bestTurn;
+  for (std::size_t n = 0; n < waiting.size(); ++n) {
+    const WaitingWork &it = waiting[n];
+    auto use = useOf(uses, it.Organisation);
+    bool hasIdle = it.AnyOrganisation ? anyIdle : use.Idle > 0;
+    if (!it.MayStart || !hasIdle)
+      continue;
+    std::pair turn(it.Priority, use.Turn);
+    if (best && bestTurn <= turn)
+      continue;
+    best = n;
+    bestTurn = turn;
+  }
+  return best;
+}
+
+std::size_t countAhead(const std::vector<WaitingWork> &waiting,
+                       const base::OrganisationName &organisation,
+                       int priority) {
+  std::size_t ahead = 0;
+  std::map<base::OrganisationName, std::size_t> samePriority;
+  for (const auto &it : waiting) {
+    if (it.Priority < priority)
+      ++ahead;
+    else if (it.Priority == priority)
+      ++samePriority[it.Organisation];
+  }
+  // Organisations take turns, so each of the others has at most as many turns
+  // as this one until the request is served.
+  std::size_t turns = samePriority[organisation] + 1;
+  for (const auto &[name, n] : samePriority)
+    ahead += name == organisation ? n : std::min(n, turns);
+  return ahead;
+}
+
+std::optional<base::OrganisationName>
+chooseToOpenFor(const std::vector<WaitingWork> &waiting,
+                const OrganisationUses &uses) {
+  std::map<base::OrganisationName, int> needs;
+  const WaitingWork *best = nullptr;
+  std::pair<int, int> bestTurn;
+  for (const auto &it : waiting) {
+    auto use = useOf(uses, it.Organisation);
+    if (!it.MayStart && use.held() > 0)
+      continue;
+    if (++needs[it.Organisation] <= use.Idle + use.Opening)
+      continue;
+    std::pair turn(it.Priority, use.held());
+    if (best && bestTurn <= turn)
+      continue;
+    best = &it;
+    bestTurn = turn;
+  }
+  return best ? std::optional(best->Organisation) : std::nullopt;
+}
+
+std::optional<std::size_t>
+chooseToClose(const std::vector<IdleConnection> &idle,
+              const OrganisationUses &uses,
+              const base::OrganisationName &organisation) {
+  std::optional<std::size_t> best;
+  for (std::size_t n = 0; n < idle.size(); ++n) {
+    const IdleConnection &it = idle[n];
+    if (it.Organisation == organisation ||
+        useOf(uses, it.Organisation).Waiting > 0)
+      continue;
+    if (!best || it.IdleSince < idle[*best].IdleSince)
+      best = n;
+  }
+  return best;
+}
+
+int openLimitFor(int maximum, const base::OrganisationName &organisation,
+                 int held) {
+  if (organisation.empty() || held == 0)
+    return maximum;
+  return std::max(1, maximum - maximum / ReserveDivisor);
+}
+
+} // namespace baobabpin::pooling
--- a/baobabpin/pooling/PoolPolicy.cpp
+++ b/baobabpin/pooling/PoolPolicy.cpp
@@ -14,6 +14,12 @@
 /// Statements sent beyond the server's slots. They wait at the server and keep
 /// its slots busy while replies are on the network.
 constexpr int StatementsQueuedAtServer = 2;
+/// Part of a server's slots that may open connections at the same time.
+constexpr int OpeningDivisor = 2;
+/// A transaction may be aborted in favour of waiting work after this many times
+/// the usual rest, and after MinReclaimRest.
+constexpr int ReclaimFactor = 8;
+constexpr std::chrono::milliseconds MinReclaimRest{250};
 
 } // namespace
 
@@ -49,6 +55,23 @@
   return true;
 }
 
+bool mayGrantToOrganisation(const PoolUse &use, const ConnectionShare &share,
+                            WorkKind work) {
+  if (work != WorkKind::Transaction)
+    return mayGrant(use, share, work);
+  return use.Transactions < std::max(1, share.Maximum - share.Reserved);
+}
+
+int openingLimit(int slots, bool refused) {
+  return refused ? 1 : std::max(1, slots / OpeningDivisor);
+}
+
+bool mayReclaim(std::chrono::nanoseconds rest,
+                std::chrono::nanoseconds usualRest) {
+  return rest > std::max<std::chrono::nanoseconds>(MinReclaimRest,
+                                                   ReclaimFactor * usualRest);
+}
+
 bool shouldOpen(const PoolCounts &counts, const ConnectionShare &share,
                 base::BootTime backoffUntil, base::BootTime now) {
   if (now < backoffUntil || counts.Opening >= counts.Waiting)
--- a/baobabpin/pooling/PoolPolicy.h
+++ b/baobabpin/pooling/PoolPolicy.h
@@ -45,14 +45,15 @@
 
 /// Delay before the next connection after the server refused one because of its
 /// limit. Another node frees a connection after about the duration of a
-/// transaction.
+/// transaction. Until one succeeds, they are opened one at a time, because a
+/// refused connection costs the server as much as an accepted one.
 inline constexpr std::chrono::milliseconds LimitBackoff{250};
 /// Delay before the next connection after one could not be opened for another
 /// reason.
 inline constexpr std::chrono::milliseconds FailureBackoff{200};
-/// A borrowed connection that has been idle for longer than this is closed.
-/// Closing earlier would cost too much, because opening a connection occupies a
-/// slot of the server for 12 ms.
+/// A borrowed connection that has been idle for longer than this is closed,
+/// unless it belongs to an organisation. Closing earlier would cost too much,
+/// because opening a connection occupies a slot of the server.
 inline constexpr std::chrono::milliseconds BorrowedIdleLimit{1500};
 
 /// What a connection is requested for.
@@ -73,6 +74,24 @@
 /// Whether an idle connection may be granted to work of this kind now.
 bool mayGrant(const PoolUse &use, const ConnectionShare &share, WorkKind work);
 
+/// The same where connections belong to organisations. Those of others are idle
+/// without being of use to this work, so transactions are limited by the number
+/// of connections that could be open.
+bool mayGrantToOrganisation(const PoolUse &use, const ConnectionShare &share,
+                            WorkKind work);
+
+/// The number of connections that may be opened at the same time to a server
+/// with \p slots slots. The others stay free for statements.
+/// \p refused: the server has refused the latest connection because of its
+/// limit.
+int openingLimit(int slots, bool refused);
+
+/// Whether to abort a transaction whose client has run no statement for \p
+/// rest, because other work waits for a connection and none can be opened. \p
+/// usualRest is the average time between two statements of a transaction.
+bool mayReclaim(std::chrono::nanoseconds rest,
+                std::chrono::nanoseconds usualRest);
+
 /// The number of connections of a pool that are open or being opened, and the
 /// number of waiting requests that one more connection would help.
 struct PoolCounts {
--- a/baobabpin/pooling/ServerConnection.cpp
+++ b/baobabpin/pooling/ServerConnection.cpp
@@ -43,6 +43,8 @@
   Replies.clear();
   OnBatch = std::move(callback);
   SentAt = base::BootClock::now();
+  if (Transaction == sql::TransactionState::Open && OnResumed)
+    OnResumed(SentAt - IdleSince);
   Connection->send(lines);
 }
 
--- a/baobabpin/pooling/ServerConnection.h
+++ b/baobabpin/pooling/ServerConnection.h
@@ -70,6 +70,9 @@
   /// nor a BatchCallback reports: after a batch whose replies were discarded,
   /// and after an unexpected close.
   std::function<void()> OnSettled;
+  /// Called before a statement of an open transaction is sent, with the time
+  /// since the reply to the one before.
+  std::function<void(std::chrono::nanoseconds)> OnResumed;
 
 private:
   ServerConnection() = default;
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds AbandonedReplyTimeout{1000};
 /// Weight of a new latency in the moving average: one part in this many.
 constexpr int LatencyWeight = 8;
+/// The same for the time between two statements of a transaction.
+constexpr int RestWeight = 16;
 
 bool removeFrom(std::vector<ServerConnectionPtr> &connections,
                 const ServerConnectionPtr &connection) {
@@ -30,22 +32,16 @@
 
 ServerPool::~ServerPool() {
   for (auto *list : {&Idle, &Busy, &Opening, &Abandoned}) {
-    for (auto &it : *list)
+    for (auto &it : *list) {
       it->OnSettled = nullptr;
+      it->OnResumed = nullptr;
+    }
   }
 }
 
 PoolCounts ServerPool::counts() const {
-  int waitingStatements = static_cast<int>(
-      std::ranges::count(Waiting, WorkKind::Statement,
-                         [](const WaiterPtr &it) { return it->Kind; }));
-  int otherWaiting = static_cast<int>(Waiting.size()) - waitingStatements;
-  // Another connection does not help statements beyond Share.Statements, so
-  // those are not counted as waiting.
-  int allowedToStart = std::max(0, Share.Statements - use().Statements);
   return {static_cast<int>(Idle.size() + Busy.size() + Abandoned.size()),
-          static_cast<int>(Opening.size()),
-          otherWaiting + std::min(waitingStatements, allowedToStart)};
+          static_cast<int>(Opening.size())};
 }
 
 PoolUse ServerPool::use() const {
@@ -63,49 +59,106 @@
     waiter->OnRefused(sql::ErrorCode::WrongServer);
     return;
   }
-  // Waiting work of the same kind would have been granted the idle connection
-  // already, so this request overtakes none of it.
-  if (mayGrant(use(), Share, waiter->Kind)) {
+  // Waiting work of the same kind and organisation would have been granted the
+  // idle connection already, so this request overtakes none of it.
+  if (mayGrantNow(*waiter, use())) {
     if (ServerConnectionPtr connection = takeIdleFor(*waiter)) {
       grant(connection, waiter);
       return;
     }
   }
-  auto insertAt = std::ranges::find_if(Waiting, [&](const WaiterPtr &it) {
-    return std::pair(waiter->Priority, waiter->Deadline) <
-           std::pair(it->Priority, it->Deadline);
-  });
   auto now = base::BootClock::now();
-  auto ahead = std::distance(Waiting.begin(), insertAt);
+  auto ahead =
+      countAhead(waitingWork(), waiter->Organisation, waiter->Priority);
   if (waiter->Deadline != base::BootTime{} && !Waiting.empty() &&
-      admission::shouldRefuse(
-          admission::expectedWait(Grants, static_cast<std::size_t>(ahead)),
-          waiter->Deadline - now)) {
+      admission::shouldRefuse(admission::expectedWait(Grants, ahead),
+                              waiter->Deadline - now)) {
     waiter->OnRefused(sql::ErrorCode::TooManyConnections);
     return;
   }
+  auto insertAt = std::ranges::find_if(Waiting, [&](const WaiterPtr &it) {
+    return std::pair(waiter->Priority, waiter->Deadline) <
+           std::pair(it->Priority, it->Deadline);
+  });
   Waiting.insert(insertAt, waiter);
-  if (shouldOpen(counts(), Share, BackoffUntil, now))
-    openOne();
-  else if (openCount() == 0 && Opening.empty() && Condition.Unreachable)
+  openForWaiting(now);
+  if (openCount() == 0 && Opening.empty() && Condition.Unreachable)
     refuseAll(sql::ErrorCode::Busy);
 }
 
+bool ServerPool::mayGrantNow(const Waiter &waiter, const PoolUse &use) const {
+  return waiter.Organisation.empty()
+             ? mayGrant(use, Share, waiter.Kind)
+             : mayGrantToOrganisation(use, Share, waiter.Kind);
+}
+
+std::vector<WaitingWork> ServerPool::waitingWork() const {
+  std::vector<WaitingWork> list;
+  list.reserve(Waiting.size());
+  auto now = use();
+  for (const auto &it : Waiting)
+    list.push_back({it->Organisation, it->Priority, mayGrantNow(*it, now),
+                    it->Kind == WorkKind::Probe});
+  return list;
+}
+
+std::vector<WaitingWork> ServerPool::startableWork() const {
+  std::vector<WaitingWork> list;
+  list.reserve(Waiting.size());
+  auto expected = use();
+  for (const auto &it : Waiting) {
+    bool mayStart = mayGrantNow(*it, expected);
+    list.push_back({it->Organisation, it->Priority, mayStart,
+                    it->Kind == WorkKind::Probe});
+    if (!mayStart)
+      continue;
+    expected.Statements += it->Kind == WorkKind::Statement ? 1 : 0;
+    expected.Transactions += it->Kind == WorkKind::Transaction ? 1 : 0;
+  }
+  return list;
+}
+
+bool ServerPool::lacksConnections() const {
+  auto now = use();
+  return std::ranges::any_of(Waiting, [&](const WaiterPtr &it) {
+    return it->Kind == WorkKind::Transaction || mayGrantNow(*it, now);
+  });
+}
+
+OrganisationUses ServerPool::organisationUses() const {
+  OrganisationUses uses;
+  for (const auto &it : Idle)
+    ++uses[it->Organisation].Idle;
+  for (const auto &it : Busy)
+    ++uses[it->Organisation].Busy;
+  for (const auto &it : Opening)
+    ++uses[it->Organisation].Opening;
+  for (const auto &it : Waiting)
+    ++uses[it->Organisation].Waiting;
+  for (auto &[name, it] : uses)
+    it.Turn = turnOf(Turns, name);
+  return uses;
+}
+
 ServerConnectionPtr ServerPool::takeIdleFor(const Waiter &waiter) {
-  if (Idle.empty())
-    return nullptr;
-  auto it = Idle.end() - 1;
-  if (waiter.Values) {
-    auto match =
-        std::ranges::find_if(Idle, [&](const ServerConnectionPtr &connection) {
-          return !connection->Session.Uncertain &&
-                 connection->Session.Values == *waiter.Values;
-        });
-    if (match != Idle.end())
-      it = match;
+  // A probe runs no statement of a client, so it may use any connection.
+  auto usable = [&](const ServerConnectionPtr &it) {
+    return waiter.Kind == WorkKind::Probe ||
+           it->Organisation == waiter.Organisation;
+  };
+  auto best = Idle.end();
+  for (auto it = Idle.begin(); it != Idle.end(); ++it) {
+    if (!usable(*it))
+      continue;
+    best = it;
+    const auto &session = (*it)->Session;
+    if (waiter.Values && !session.Uncertain && session.Values == *waiter.Values)
+      break;
   }
-  ServerConnectionPtr connection = *it;
-  Idle.erase(it);
+  if (best == Idle.end())
+    return nullptr;
+  ServerConnectionPtr connection = *best;
+  Idle.erase(best);
   return connection;
 }
 
@@ -123,6 +176,7 @@
                        const WaiterPtr &waiter) {
   connection->GrantedFor = waiter->Kind;
   Busy.push_back(connection);
+  recordTurn(Turns, waiter->Organisation, waiter->Share);
   waiter->OnGranted(connection);
 }
 
@@ -154,26 +208,81 @@
 }
 
 void ServerPool::serveWaiting() {
-  while (!Idle.empty()) {
-    auto next =
-        std::ranges::find_if(Waiting, [this, now = use()](const auto &it) {
-          return mayGrant(now, Share, it->Kind);
-        });
-    if (next == Waiting.end())
+  while (!Idle.empty() && !Waiting.empty()) {
+    auto next = chooseToServe(waitingWork(), organisationUses());
+    if (!next)
       break;
-    WaiterPtr waiter = *next;
-    Waiting.erase(next);
+    auto it = std::next(Waiting.begin(), static_cast<std::ptrdiff_t>(*next));
+    WaiterPtr waiter = *it;
+    Waiting.erase(it);
     admission::recordGrant(Grants, base::BootClock::now(), !Waiting.empty());
     grant(takeIdleFor(*waiter), waiter);
   }
-  if (shouldOpen(counts(), Share, BackoffUntil, base::BootClock::now()))
-    openOne();
+  openForWaiting(base::BootClock::now());
+}
+
+void ServerPool::openForWaiting(base::BootTime now) {
+  if (Waiting.empty() || now < BackoffUntil ||
+      counts().Opening >= openingLimit(Server.Slots, LimitReached))
+    return;
+  auto uses = organisationUses();
+  auto organisation = chooseToOpenFor(startableWork(), uses);
+  if (!organisation)
+    return;
+  ConnectionShare share = Share;
+  share.Maximum =
+      openLimitFor(Share.Maximum, *organisation, uses[*organisation].held());
+  PoolCounts it = counts();
+  // The chosen work is not served by any of the connections being opened.
+  it.Waiting = it.Opening + 1;
+  if (shouldOpen(it, share, BackoffUntil, now) ||
+      closeIdleInFavourOf(*organisation, uses))
+    openOne(*organisation);
 }
 
-void ServerPool::openOne() {
+bool ServerPool::closeIdleInFavourOf(const base::OrganisationName &organisation,
+                                     const OrganisationUses &uses) {
+  std::vector<IdleConnection> idle;
+  idle.reserve(Idle.size());
+  for (const auto &it : Idle)
+    idle.push_back({it->Organisation, it->idleSince()});
+  auto surplus = chooseToClose(idle, uses, organisation);
+  if (!surplus)
+    return false;
+  ServerConnectionPtr connection = Idle[*surplus];
+  removeFrom(Idle, connection);
+  connection->OnSettled = nullptr;
+  connection->close();
+  return true;
+}
+
+void ServerPool::reclaimIdleTransaction(base::BootTime now) {
+  auto counted = counts();
+  bool full = counted.Open + counted.Opening >= Share.Maximum;
+  if (!full || !lacksConnections())
+    return;
+  ServerConnectionPtr longest;
+  for (const auto &it : Busy) {
+    bool rests = it->GrantedFor == WorkKind::Transaction && it->isIdle() &&
+                 it->transaction() != sql::TransactionState::Idle;
+    if (rests && (!longest || it->idleSince() < longest->idleSince()))
+      longest = it;
+  }
+  if (!longest || !mayReclaim(now - longest->idleSince(), UsualRest))
+    return;
+  // The server rolls the transaction back. Its holder finds the connection
+  // closed when the client sends the next statement, and reports the abort.
+  removeFrom(Busy, longest);
+  longest->OnSettled = nullptr;
+  longest->close();
+  ++Reclaimed;
+  openForWaiting(now);
+}
+
+void ServerPool::openOne(const base::OrganisationName &organisation) {
   auto holder = std::make_shared<std::weak_ptr<ServerConnection>>();
   ServerConnectionPtr connection = ServerConnection::open(
-      Loop, Server.Address, Server.Group, {}, Server.Id,
+      Loop, Server.Address, Server.Group, organisation, Server.Id,
       [this, holder](std::optional<sql::ErrorCode> error) {
         if (ServerConnectionPtr it = holder->lock())
           onOpened(it, error);
@@ -194,6 +303,9 @@
     Busy.push_back(it);
     release(it);
   };
+  connection->OnResumed = [this](std::chrono::nanoseconds rest) {
+    UsualRest += (rest - UsualRest) / RestWeight;
+  };
   Opening.push_back(connection);
 }
 
@@ -203,6 +315,7 @@
     return;
   auto now = base::BootClock::now();
   if (!error) {
+    LimitReached = false;
     Condition.Unreachable = false;
     Condition.LastContact = std::max(Condition.LastContact, now);
     Idle.push_back(connection);
@@ -215,6 +328,7 @@
     // counts connections of hosts that lost power for some seconds.
     Condition.LastContact = now;
     Condition.Unreachable = false;
+    LimitReached = true;
     BackoffUntil = now + LimitBackoff;
     return;
   case sql::ErrorCode::WrongServer:
@@ -263,20 +377,24 @@
   }
   auto idle = Idle;
   for (const auto &it : idle) {
-    if (!shouldCloseIdle(counts(), Share, now - it->idleSince()))
+    // Another connection of an organisation would have to be opened for it,
+    // while others do not need this one.
+    bool kept = !it->Organisation.empty() && counts().Open <= Share.Maximum;
+    if (kept || !shouldCloseIdle(counts(), Share, now - it->idleSince()))
       continue;
     removeFrom(Idle, it);
     it->OnSettled = nullptr;
     it->close();
   }
+  if (Closing || Condition.WrongIdentity)
+    return;
   PoolCounts it = counts();
   bool belowShare = it.Open + it.Opening < std::min(1, Share.Guaranteed);
-  if (!Closing && !Condition.WrongIdentity && now >= BackoffUntil &&
-      it.Opening == 0 && (belowShare || it.Waiting > 0)) {
-    it.Waiting = std::max(it.Waiting, 1);
-    if (shouldOpen(it, Share, BackoffUntil, now))
-      openOne();
-  }
+  if (belowShare && it.Opening == 0 && now >= BackoffUntil && Waiting.empty())
+    openOne({});
+  else
+    openForWaiting(now);
+  reclaimIdleTransaction(now);
 }
 
 void ServerPool::shutDown() {
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -11,6 +11,7 @@
 
 #include "baobabpin/admission/QueueWait.h"
 #include "baobabpin/cluster/Types.h"
+#include "baobabpin/pooling/OrganisationPolicy.h"
 #include "baobabpin/pooling/PoolPolicy.h"
 #include "baobabpin/pooling/ServerConnection.h"
 
@@ -24,12 +25,15 @@
 using ServerConnectionPtr = std::shared_ptr<ServerConnection>;
 
 /// A request for a connection. Waiting requests are served by priority, lowest
-/// number first, then by deadline.
+/// number first. Organisations with requests of the same priority take turns by
+/// their shares; those of the same organisation are served by deadline.
 struct Waiter {
   WorkKind Kind = WorkKind::Statement;
   /// The organisation for which the work runs, or empty. It gets a connection
   /// that was opened for the same organisation.
   base::OrganisationName Organisation;
+  /// The share of the organisation in the server, relative to the others.
+  double Share = 1;
   int Priority = 0;
   /// Work that is unlikely to be done by this time is refused at once. Work
   /// without a deadline waits until it is granted or cancelled.
@@ -98,6 +102,9 @@
   void shutDown();
 
   void setShare(ConnectionShare share) { Share = share; }
+  /// The number of transactions that were aborted because their clients rested
+  /// while other work waited for a connection.
+  std::uint64_t reclaimedCount() const { return Reclaimed; }
   const cluster::ServerRegistration &server() const { return Server; }
   void update(const cluster::ServerRegistration &server) { Server = server; }
   const ServerCondition &condition() const { return Condition; }
@@ -107,13 +114,31 @@
   bool hasIdle() const { return !Idle.empty(); }
 
 private:
-  void openOne();
+  /// Opens a connection if waiting work needs one and the limits allow it.
+  /// Closes an idle one of another organisation if that makes room for it.
+  void openForWaiting(base::BootTime now);
+  bool closeIdleInFavourOf(const base::OrganisationName &organisation,
+                           const OrganisationUses &uses);
+  void openOne(const base::OrganisationName &organisation);
+  /// Closes the connection of the transaction that has rested longest, if it
+  /// has rested for unusually long and work waits that cannot get another one.
+  void reclaimIdleTransaction(base::BootTime now);
   void onOpened(const ServerConnectionPtr &connection,
                 std::optional<sql::ErrorCode> error);
   void grant(const ServerConnectionPtr &connection, const WaiterPtr &waiter);
   void serveWaiting();
   void refuseAll(sql::ErrorCode code);
+  /// Takes an idle connection that \p waiter may use, or returns null.
   ServerConnectionPtr takeIdleFor(const Waiter &waiter);
+  bool mayGrantNow(const Waiter &waiter, const PoolUse &use) const;
+  /// The waiting work, each entry judged by the limits as if it were the next
+  /// to run.
+  std::vector<WaitingWork> waitingWork() const;
+  /// The same, each entry judged as if those before it were running.
+  std::vector<WaitingWork> startableWork() const;
+  /// Whether work waits that would run if a connection were free.
+  bool lacksConnections() const;
+  OrganisationUses organisationUses() const;
   PoolCounts counts() const;
   PoolUse use() const;
 
@@ -131,6 +156,12 @@
   std::list<WaiterPtr> Waiting;
   admission::GrantRate Grants;
   base::BootTime BackoffUntil{};
+  /// The server refused the latest connection because of its limit.
+  bool LimitReached = false;
+  FairTurns Turns;
+  /// Moving average of the time between two statements of a transaction.
+  std::chrono::nanoseconds UsualRest{0};
+  std::uint64_t Reclaimed = 0;
   bool Closing = false;
 };
 
