Report not ready when most groups are out of reach

A node that relays statements now counts the groups whose owners it has lost; if these are more than half for 0.2 s, it reports not ready, so that new connections go to other zones. Weighed: a shorter bound on the age of the view, which large fleets reach without a fault.

--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -21,12 +21,6 @@
 /// The platform sends no new connections after two failed readiness checks,
 /// which it makes once a second.
 constexpr milliseconds NewConnectionsStopAfter{2300};
-/// A node with an older cluster view will soon lose the right to use the
-/// primaries. Reporting not ready lets clients connect to another availability
-/// zone.
-constexpr milliseconds MaxReadyViewAge{900};
-/// In a large fleet a cluster view reaches this age without any fault.
-constexpr milliseconds MaxReadyViewAgeLargeFleet{1300};
 /// A node that has been not ready for this long gets no new connections from
 /// the platform.
 constexpr milliseconds UnreadyCloseDelay{2200};
@@ -203,13 +197,18 @@
   Channels->tick(base::BootClock::now());
   for (const auto &[name, it] : Groups)
     it->tick();
+  auto now = base::BootClock::now();
+  auto state = readinessState();
+  if (!isIsolated(state))
+    LastReachableAt = now;
   bool ready = isReady();
   if (std::exchange(WasReady, ready) != ready)
     Log.line("readiness")
         .add("ready", ready ? "yes" : "no")
         .add("view_age_ms", Cluster->viewAge())
+        .add("unreachable_groups",
+             static_cast<std::int64_t>(state.UnreachableGroups))
         .add("draining", Draining ? "yes" : "no");
-  auto now = base::BootClock::now();
   if (ready || Sessions.empty()) {
     LastReadyAt = now;
     return;
@@ -228,13 +227,20 @@
     it->requestCloseIfIdle(now, idle);
 }
 
+ReadinessState FrontendService::readinessState() const {
+  auto cutOff = std::ranges::count_if(
+      Groups, [](const auto &it) { return it.second->isCutOff(); });
+  return {.Draining = Draining,
+          .Configured = Cluster->configuration() && !Groups.empty(),
+          .LargeFleet = Cluster->plan().Large,
+          .ViewAge = Cluster->viewAge(),
+          .Groups = Groups.size(),
+          .UnreachableGroups = static_cast<std::size_t>(cutOff),
+          .UnreachableFor = base::BootClock::now() - LastReachableAt};
+}
+
 bool FrontendService::isReady() const {
-  if (Draining || !Cluster->configuration() || Groups.empty())
-    return false;
-  // A node whose cluster view is too old will soon lose the right to use any
-  // primary, and can then serve only a part of its clients.
-  return Cluster->viewAge() <
-         (Cluster->plan().Large ? MaxReadyViewAgeLargeFleet : MaxReadyViewAge);
+  return frontend::isReady(readinessState());
 }
 
 void FrontendService::countStatement(const cluster::Route &route,
--- a/baobabpin/frontend/FrontendService.h
+++ b/baobabpin/frontend/FrontendService.h
@@ -4,6 +4,7 @@
 
 #include "baobabpin/control/ClusterService.h"
 #include "baobabpin/control/FailoverService.h"
+#include "baobabpin/frontend/Readiness.h"
 #include "baobabpin/frontend/RelayServer.h"
 #include "baobabpin/frontend/Session.h"
 #include "baobabpin/http/HttpServer.h"
@@ -45,6 +46,7 @@
   /// Asks clients that have been idle for at least \p idle to close their
   /// sessions.
   void requestCloseOfIdleSessions(std::chrono::nanoseconds idle);
+  ReadinessState readinessState() const;
   bool isReady() const;
   void query(const base::ServerId &id, const std::string &line,
              std::chrono::milliseconds timeout,
@@ -81,6 +83,8 @@
   bool Draining = false;
   bool WasReady = false;
   base::BootTime LastReadyAt{};
+  /// When at most half of the groups were out of reach for the last time.
+  base::BootTime LastReachableAt{};
   base::BootTime DrainStarted{};
   std::function<void()> OnDrained;
 };
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -136,6 +136,12 @@
   return it;
 }
 
+bool GroupProxy::isCutOff() const {
+  return !Pools.empty() && std::ranges::all_of(Pools, [this](const auto &it) {
+    return Channels.isCutOff(it.second->server());
+  });
+}
+
 bool GroupProxy::hasReplacementFor(const base::ServerId &primary) const {
   return std::ranges::any_of(Pools, [&](const auto &entry) {
     const auto &[id, pool] = entry;
--- a/baobabpin/frontend/OwnerChannels.cpp
+++ b/baobabpin/frontend/OwnerChannels.cpp
@@ -58,6 +58,23 @@
                               : ConnectionRole::Standby;
 }
 
+bool OwnerChannels::isCutOff(const cluster::ServerRegistration &server) {
+  if (roleFor(server) != ConnectionRole::NonOwner)
+    return false;
+  bool lost = false;
+  for (const auto &node : ownersOf(server)) {
+    auto it = Peers.find(node);
+    if (it == Peers.end())
+      continue;
+    const Peer &peer = it->second;
+    bool open = peer.Channel && peer.Channel->isOpen();
+    if (open && peer.Channel->hasReceived())
+      return false;
+    lost = lost || peer.Lost || (peer.Channel && !open);
+  }
+  return lost;
+}
+
 bool OwnerChannels::mayConnect(const cluster::ServerRegistration &server) {
   return !Cluster.plan().Large || roleFor(server) != ConnectionRole::NonOwner;
 }
@@ -87,6 +104,7 @@
   if (peer.Channel) {
     Log.line("owner_lost").add("node", node);
     peer.Channel.reset();
+    peer.Lost = true;
     peer.RetryAt = now + OwnerRetryDelay;
   }
   auto record = Cluster.view().Nodes.find(node);
--- a/baobabpin/frontend/OwnerChannels.h
+++ b/baobabpin/frontend/OwnerChannels.h
@@ -40,11 +40,17 @@
   /// Whether this node may connect to the server to run its clients' statements
   /// if no owner can be reached.
   bool mayConnect(const cluster::ServerRegistration &server);
+  /// Returns whether this node relays statements to the server, has lost a
+  /// channel to one of its owners, and has none that has worked since it was
+  /// opened.
+  bool isCutOff(const cluster::ServerRegistration &server);
 
 private:
   struct Peer {
     ChannelPtr Channel;
     base::BootTime RetryAt{};
+    /// A channel to the node was lost.
+    bool Lost = false;
   };
 
   const std::vector<std::string> &
--- a/baobabpin/relay/Channel.cpp
+++ b/baobabpin/relay/Channel.cpp
@@ -88,6 +88,7 @@
 
 void Channel::onLine(std::string_view line) {
   LastReceivedAt = base::BootClock::now();
+  Received = true;
   auto reply = decodeReply(line);
   if (!reply) {
     fail();
--- a/baobabpin/relay/Channel.h
+++ b/baobabpin/relay/Channel.h
@@ -41,6 +41,8 @@
   /// called periodically.
   void checkLiveness(base::BootTime now);
   bool isOpen() const { return !Failed; }
+  /// Returns whether anything was received since the channel was opened.
+  bool hasReceived() const { return Received; }
   /// Returns whether the owner has announced that it is about to stop.
   bool isLeaving() const { return Leaving; }
 
@@ -56,6 +58,7 @@
   base::BootTime LastReceivedAt{};
   base::BootTime LastSentAt{};
   bool Failed = false;
+  bool Received = false;
   bool Leaving = false;
 };
 
