Open connections without organisations at the former pace

Opening is unlimited again unless the server has just refused a connection, then one at a time; with organisations as many at a time as the server has slots. The count of requests ahead again leaves out those of the same organisation with a later deadline.

--- a/baobabpin/pooling/OrganisationPolicy.cpp
+++ b/baobabpin/pooling/OrganisationPolicy.cpp
@@ -54,22 +54,25 @@
 }
 
 std::size_t countAhead(const std::vector<WaitingWork> &waiting,
-                       const base::OrganisationName &organisation,
-                       int priority) {
+                       const base::OrganisationName &organisation, int priority,
+                       std::size_t position) {
   std::size_t ahead = 0;
-  std::map<base::OrganisationName, std::size_t> samePriority;
-  for (const auto &it : waiting) {
+  std::size_t own = 0;
+  std::map<base::OrganisationName, std::size_t> others;
+  for (std::size_t n = 0; n < waiting.size(); ++n) {
+    const WaitingWork &it = waiting[n];
     if (it.Priority < priority)
       ++ahead;
-    else if (it.Priority == priority)
-      ++samePriority[it.Organisation];
+    else if (it.Priority == priority && it.Organisation != organisation)
+      ++others[it.Organisation];
+    else if (it.Priority == priority && n < position)
+      ++own;
   }
   // Organisations take turns, so each of the others has at most as many turns
   // as this one until the request is served.
-  std::size_t turns = samePriority[organisation] + 1;
-  for (const auto &[name, n] : samePriority)
-    ahead += name == organisation ? n : std::min(n, turns);
-  return ahead;
+  for (const auto &[name, n] : others)
+    ahead += std::min(n, own + 1);
+  return ahead + own;
 }
 
 std::optional<base::OrganisationName>
--- a/baobabpin/pooling/OrganisationPolicy.h
+++ b/baobabpin/pooling/OrganisationPolicy.h
@@ -71,10 +71,10 @@
               const OrganisationUses &uses);
 
 /// Returns the number of requests that are served before one of
-/// \p organisation with this priority, which joins the queue now.
+/// \p organisation with this priority, which joins the queue at \p position.
 std::size_t countAhead(const std::vector<WaitingWork> &waiting,
-                       const base::OrganisationName &organisation,
-                       int priority);
+                       const base::OrganisationName &organisation, int priority,
+                       std::size_t position);
 
 /// Returns the organisation for which the next connection is opened, or nothing
 /// if no waiting work needs one: the highest priority first, then the
--- a/baobabpin/pooling/OrganisationPolicyTest.cpp
+++ b/baobabpin/pooling/OrganisationPolicyTest.cpp
@@ -62,10 +62,12 @@
 TEST_CASE("a new request counts the turns before it") {
   std::vector<WaitingWork> waiting(9, {"large", 1});
   waiting.push_back({"urgent", 0});
-  CHECK(countAhead(waiting, "small", 1) == 2);
-  CHECK(countAhead(waiting, "large", 1) == 10);
-  CHECK(countAhead(waiting, "small", 0) == 1);
-  CHECK(countAhead({}, "small", 0) == 0);
+  CHECK(countAhead(waiting, "small", 1, 10) == 2);
+  CHECK(countAhead(waiting, "large", 1, 10) == 10);
+  CHECK(countAhead(waiting, "small", 0, 0) == 1);
+  CHECK(countAhead({}, "small", 0, 0) == 0);
+  // Guards against a request that counts those with a later deadline.
+  CHECK(countAhead(waiting, "large", 1, 3) == 4);
 }
 
 TEST_CASE("connections are opened for work that no other one will serve") {
@@ -116,11 +118,13 @@
   CHECK(mayReclaim(900ms, 100ms));
 }
 
-TEST_CASE("opening connections leaves slots to statements") {
-  CHECK(openingLimit(4, false) == 2);
-  CHECK(openingLimit(1, false) == 1);
+TEST_CASE("the opening of connections is paced") {
+  // Guards against a server whose slots are all taken by new connections after
+  // an outage of all nodes.
+  CHECK(openingLimit(4, true, false) == 4);
   // A refused connection costs the server as much as an accepted one.
-  CHECK(openingLimit(4, true) == 1);
+  CHECK(openingLimit(4, true, true) == 1);
+  CHECK(openingLimit(4, false, true) == 1);
 }
 
 /// The connections of one server under the load of many organisations.
@@ -217,7 +221,7 @@
     for (std::size_t n = Slots; n < startable.size(); ++n)
       startable[n].MayStart = false;
     auto organisation = chooseToOpenFor(startable, all);
-    if (!organisation || opening >= openingLimit(Slots, false))
+    if (!organisation || opening >= openingLimit(Slots, true, false))
       return false;
     int open = static_cast<int>(Running.size() + Idle.size());
     if (open >=
--- a/baobabpin/pooling/PoolPolicy.cpp
+++ b/baobabpin/pooling/PoolPolicy.cpp
@@ -14,8 +14,6 @@
 /// Statements sent beyond the server's slots. They wait at the server and keep
 /// its slots busy while replies are on the network.
 constexpr int StatementsQueuedAtServer = 2;
-/// Part of a server's slots that may open connections at the same time.
-constexpr int OpeningDivisor = 2;
 /// A transaction may be aborted in favour of waiting work after this many times
 /// the usual rest, and after MinReclaimRest.
 constexpr int ReclaimFactor = 8;
@@ -62,8 +60,10 @@
   return use.Transactions < std::max(1, share.Maximum - share.Reserved);
 }
 
-int openingLimit(int slots, bool refused) {
-  return refused ? 1 : std::max(1, slots / OpeningDivisor);
+int openingLimit(int slots, bool byOrganisation, bool refused) {
+  if (refused)
+    return 1;
+  return byOrganisation ? slots : std::numeric_limits<int>::max();
 }
 
 bool mayReclaim(std::chrono::nanoseconds rest,
--- a/baobabpin/pooling/PoolPolicy.h
+++ b/baobabpin/pooling/PoolPolicy.h
@@ -81,10 +81,10 @@
                             WorkKind work);
 
 /// The number of connections that may be opened at the same time to a server
-/// with \p slots slots. The others stay free for statements.
-/// \p refused: the server has refused the latest connection because of its
-/// limit.
-int openingLimit(int slots, bool refused);
+/// with \p slots slots. \p byOrganisation: the connections belong to
+/// organisations, so that many may be needed at once after an outage. \p
+/// refused: the server has refused the latest connection because of its limit.
+int openingLimit(int slots, bool byOrganisation, bool refused);
 
 /// Whether to abort a transaction whose client has run no statement for \p
 /// rest, because other work waits for a connection and none can be opened. \p
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -67,20 +67,22 @@
       return;
     }
   }
+  auto insertAt = std::ranges::find_if(Waiting, [&](const WaiterPtr &it) {
+    return std::pair(waiter->Priority, waiter->Deadline) <
+           std::pair(it->Priority, it->Deadline);
+  });
   auto now = base::BootClock::now();
-  auto ahead =
-      countAhead(waitingWork(), waiter->Organisation, waiter->Priority);
+  auto position = std::distance(Waiting.begin(), insertAt);
+  auto ahead = countAhead(waitingWork(), waiter->Organisation, waiter->Priority,
+                          static_cast<std::size_t>(position));
   if (waiter->Deadline != base::BootTime{} && !Waiting.empty() &&
       admission::shouldRefuse(admission::expectedWait(Grants, ahead),
                               waiter->Deadline - now)) {
     waiter->OnRefused(sql::ErrorCode::TooManyConnections);
     return;
   }
-  auto insertAt = std::ranges::find_if(Waiting, [&](const WaiterPtr &it) {
-    return std::pair(waiter->Priority, waiter->Deadline) <
-           std::pair(it->Priority, it->Deadline);
-  });
   Waiting.insert(insertAt, waiter);
+  HasOrganisations = HasOrganisations || !waiter->Organisation.empty();
   openForWaiting(now);
   if (openCount() == 0 && Opening.empty() && Condition.Unreachable)
     refuseAll(sql::ErrorCode::Busy);
@@ -223,7 +225,8 @@
 
 void ServerPool::openForWaiting(base::BootTime now) {
   if (Waiting.empty() || now < BackoffUntil ||
-      counts().Opening >= openingLimit(Server.Slots, LimitReached))
+      counts().Opening >=
+          openingLimit(Server.Slots, HasOrganisations, LimitReached))
     return;
   auto uses = organisationUses();
   auto organisation = chooseToOpenFor(startableWork(), uses);
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -158,6 +158,8 @@
   base::BootTime BackoffUntil{};
   /// The server refused the latest connection because of its limit.
   bool LimitReached = false;
+  /// Work of an organisation has waited here.
+  bool HasOrganisations = false;
   FairTurns Turns;
   /// Moving average of the time between two statements of a transaction.
   std::chrono::nanoseconds UsualRest{0};
