--- a/baobabpin/control/ConfigDistribution.cpp
+++ b/baobabpin/control/ConfigDistribution.cpp
@@ -76,7 +76,7 @@
   if (reply.Entry) {
     SeenAt.Revision = reply.Entry->Revision;
     NewestUnreadable = adopt({.StoredAt = SeenAt, .Text = reply.Entry->Value},
-                             "store") == Adoption::Unreadable;
+                             "store", sentAt) == Adoption::Unreadable;
   }
   if (!NewestUnreadable)
     ConfirmedAt = std::max(ConfirmedAt, sentAt);
@@ -84,7 +84,7 @@
 
 ConfigDistribution::Adoption
 ConfigDistribution::adopt(distribution::Document document,
-                          std::string_view source) {
+                          std::string_view source, base::BootTime newestAt) {
   auto fresh = platform::parseConfiguration(document.Text);
   bool matches =
       fresh && (document.Version == 0 || document.Version == fresh->Version);
@@ -99,15 +99,19 @@
       .add("version", static_cast<std::int64_t>(fresh->Version))
       .add("routes", static_cast<std::int64_t>(fresh->RoutesByDatabase.size()))
       .add("source", source);
+  // A peer may bring a version that is older than an unreadable one.
+  NewestUnreadable = NewestUnreadable && document.StoredAt < SeenAt;
   SeenAt = std::max(SeenAt, document.StoredAt);
   document.Version = fresh->Version;
   Archive.add(std::move(document));
   Config = std::move(fresh);
   Transfer = {};
   WholeTextWanted = false;
+  // Sessions are checked against the new version at once, and a key that it
+  // does not have is denied only if the version is known to be recent.
+  ConfirmedAt = std::max(ConfirmedAt, newestAt);
   if (version() >= OfferedVersion)
     ConfirmedAt = std::max(ConfirmedAt, OfferedNewestAt);
-  NewestUnreadable = false;
   OnAdopted();
   return Adoption::Adopted;
 }
--- a/baobabpin/control/ConfigDistribution.h
+++ b/baobabpin/control/ConfigDistribution.h
@@ -76,8 +76,10 @@
   void completeTransfer(const std::string &source);
   enum class Adoption { Adopted, NotNewer, Unreadable };
   /// Changes nothing unless the document is readable and newer than the present
-  /// one. A document of version 0 has the version that its text states.
-  Adoption adopt(distribution::Document document, std::string_view source);
+  /// one. A document of version 0 has the version that its text states. The
+  /// document was the newest one at \p newestAt, if that is given.
+  Adoption adopt(distribution::Document document, std::string_view source,
+                 base::BootTime newestAt = {});
 
   kernel::EventLoop &Loop;
   platform::PlatformStore &Store;
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -14,6 +14,11 @@
 constexpr milliseconds TickPeriod{50};
 constexpr milliseconds IdleTransactionCheckPeriod{250};
 constexpr milliseconds DrainTickPeriod{50};
+constexpr milliseconds ReportPeriod{1000};
+/// An ended session's connection may take this long to send the last replies.
+/// Without it, replies of sessions that a change of the configuration ended
+/// were lost.
+constexpr milliseconds LastRepliesTime{500};
 /// The owner keeps an idle relayed transaction for this much longer than the
 /// configured limit, so that the node with the client's session aborts it
 /// first.
@@ -88,6 +93,9 @@
       [this](const cluster::Route &route, std::string_view key) {
         return authorize(route, key);
       }});
+  Context->OnAccessRefused = [this](organisation::Access access, bool opens) {
+    countRefusedAccess(access, opens);
+  };
   Cluster->subscribe([this] { onClusterChanged(); });
   Readiness = std::make_unique<http::HttpServer>(loop);
   Readiness->handle(
@@ -114,6 +122,7 @@
     session->start();
   }));
   Ticker = loop.runEvery(TickPeriod, [this] { tick(); });
+  ReportTimer = loop.runEvery(ReportPeriod, [this] { reportConnections(); });
   IdleTransactionTimer = loop.runEvery(IdleTransactionCheckPeriod, [this] {
     auto now = base::BootClock::now();
     for (const auto &[raw, it] : Sessions)
@@ -128,6 +137,7 @@
 void FrontendService::stop() {
   Ticker.cancel();
   IdleTransactionTimer.cancel();
+  ReportTimer.cancel();
   DrainTicker.cancel();
   auto sessions = Sessions;
   for (const auto &[raw, it] : sessions)
@@ -138,14 +148,14 @@
 }
 
 void FrontendService::removeSession(Session *session) {
-  // A member function of the session is still on the call stack, so the session
-  // is destroyed from the event loop.
+  // A member function of the session is still on the call stack, and its
+  // connection may have to send the last replies, so it is destroyed later.
   auto it = Sessions.find(session);
   if (it == Sessions.end())
     return;
   SessionPtr keep = it->second;
   Sessions.erase(it);
-  Kernel->loop().post([keep] {});
+  EndedSessions.emplace_back(base::BootClock::now(), keep);
 }
 
 std::shared_ptr<GroupProxy>
@@ -199,8 +209,71 @@
   return organisation::authorize(Access, route, key, base::BootClock::now());
 }
 
+void FrontendService::countRefusedAccess(organisation::Access access,
+                                         bool opensSession) {
+  kernel::MetricLabels labels{{"when", opensSession ? "opening" : "open"}};
+  if (access == organisation::Access::Denied)
+    Kernel->metrics()
+        .counter("baobabpin_sessions_denied_total",
+                 "Sessions ended because their access key is not valid.",
+                 labels)
+        .Increment();
+  else
+    Kernel->metrics()
+        .counter("baobabpin_refused_unconfirmed_total",
+                 "Sessions and statements refused because the configuration "
+                 "was not known to be recent.",
+                 labels)
+        .Increment();
+}
+
+void FrontendService::reportConnections() {
+  auto &metrics = Kernel->metrics();
+  pooling::PoolConnections sum;
+  for (const auto &[name, it] : Groups) {
+    it->addConnections(sum);
+    auto events = it->poolEvents();
+    auto before = std::exchange(ReportedEvents[name], events);
+    auto reclaimed = events.Reclaimed - before.Reclaimed;
+    auto replaced = events.Replaced - before.Replaced;
+    metrics
+        .counter("baobabpin_transactions_reclaimed_total",
+                 "Idle transactions aborted because other work waited for a "
+                 "connection.")
+        .Increment(static_cast<double>(reclaimed));
+    metrics
+        .counter("baobabpin_connections_replaced_total",
+                 "Idle server connections closed in favour of another "
+                 "organisation.")
+        .Increment(static_cast<double>(replaced));
+    if (reclaimed + replaced > 0)
+      Log.line("connections_short")
+          .add("group", name)
+          .add("replaced", static_cast<std::int64_t>(replaced))
+          .add("transactions_reclaimed", static_cast<std::int64_t>(reclaimed));
+  }
+  auto report = [&](const char *state, std::size_t count) {
+    metrics
+        .gauge("baobabpin_server_connections",
+               "Connections of this node to servers.", {{"state", state}})
+        .Set(static_cast<double>(count));
+  };
+  report("idle", sum.Idle);
+  report("busy", sum.Busy);
+  report("opening", sum.Opening);
+  report("abandoned", sum.Abandoned);
+  metrics
+      .gauge("baobabpin_connected_organisations",
+             "Organisations that have connections to servers.")
+      .Set(static_cast<double>(sum.Organisations.size()));
+}
+
 void FrontendService::tick() {
-  Channels->tick(base::BootClock::now());
+  auto now = base::BootClock::now();
+  while (!EndedSessions.empty() &&
+         now - EndedSessions.front().first > LastRepliesTime)
+    EndedSessions.pop_front();
+  Channels->tick(now);
   for (const auto &[name, it] : Groups)
     it->tick();
   bool ready = isReady();
@@ -209,7 +282,6 @@
         .add("ready", ready ? "yes" : "no")
         .add("view_age_ms", Cluster->viewAge())
         .add("draining", Draining ? "yes" : "no");
-  auto now = base::BootClock::now();
   if (ready || Sessions.empty()) {
     LastReadyAt = now;
     return;
--- a/baobabpin/frontend/FrontendService.h
+++ b/baobabpin/frontend/FrontendService.h
@@ -9,10 +9,12 @@
 #include "baobabpin/http/HttpServer.h"
 #include "baobabpin/kernel/Kernel.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace baobabpin::frontend {
 
@@ -58,6 +60,10 @@
   void adoptAccessKeys(const cluster::Configuration &config);
   organisation::Authorization authorize(const cluster::Route &route,
                                         std::string_view key);
+  void countRefusedAccess(organisation::Access access, bool opensSession);
+  /// Updates the metrics of the server connections, and logs the groups in
+  /// which connections were taken from some work for the sake of other work.
+  void reportConnections();
 
   platform::HostSettings Settings;
   kernel::LineLog &Log;
@@ -71,12 +77,17 @@
   std::unique_ptr<http::HttpServer> Metrics;
   std::map<base::GroupName, std::shared_ptr<GroupProxy>> Groups;
   std::unordered_map<Session *, SessionPtr> Sessions;
+  /// Ended sessions, the oldest first, whose last replies may not be sent yet.
+  std::deque<std::pair<base::BootTime, SessionPtr>> EndedSessions;
   organisation::HashSecret KeySecret = organisation::drawHashSecret();
   organisation::AuthorizationState Access;
   /// The version of the configuration from which Access was made.
   std::uint64_t AccessVersion = 0;
   kernel::Timer Ticker;
   kernel::Timer IdleTransactionTimer;
+  kernel::Timer ReportTimer;
+  /// The events of each group at the latest report.
+  std::map<base::GroupName, pooling::PoolEvents> ReportedEvents;
   kernel::Timer DrainTicker;
   bool Draining = false;
   bool WasReady = false;
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -70,8 +70,11 @@
     Retiring.push_back(entry.second);
     return true;
   });
-  std::erase_if(Retiring, [](const PoolPtr &it) {
-    return it->openCount() == 0 && it.use_count() == 1;
+  std::erase_if(Retiring, [this](const PoolPtr &it) {
+    bool unused = it->openCount() == 0 && it.use_count() == 1;
+    if (unused)
+      PastEvents += it->events();
+    return unused;
   });
   auto choice = primary();
   if (choice.Use == cluster::PrimaryUse::Allowed && choice.Epoch != LastEpoch) {
@@ -151,6 +154,22 @@
   return it == OrganisationShares.end() ? 1 : it->second;
 }
 
+pooling::PoolEvents GroupProxy::poolEvents() const {
+  pooling::PoolEvents sum = PastEvents;
+  for (const auto &[id, it] : Pools)
+    sum += it->events();
+  for (const auto &it : Retiring)
+    sum += it->events();
+  return sum;
+}
+
+void GroupProxy::addConnections(pooling::PoolConnections &sum) const {
+  for (const auto &[id, it] : Pools)
+    it->addConnections(sum);
+  for (const auto &it : Retiring)
+    it->addConnections(sum);
+}
+
 PoolPtr GroupProxy::pool(const base::ServerId &id) const {
   auto it = Pools.find(id);
   return it == Pools.end() ? nullptr : it->second;
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -114,6 +114,11 @@
   /// others.
   double organisationShare(const base::OrganisationName &organisation) const;
 
+  /// The events of all pools since the start of this node.
+  pooling::PoolEvents poolEvents() const;
+  /// Adds the connections of all pools to \p sum.
+  void addConnections(pooling::PoolConnections &sum) const;
+
   cluster::PrimaryObservation primaryObservation() const;
   /// Time since the primary last replied to this node or, as far as this node
   /// knows, to the owner of its connections. The time at which this node began
@@ -146,6 +151,8 @@
   /// Pools of servers that were removed or changed address, kept until their
   /// connections in use have been released.
   std::list<PoolPtr> Retiring;
+  /// The events of pools that exist no longer.
+  pooling::PoolEvents PastEvents;
   cluster::PositionHistory History;
   std::list<std::weak_ptr<std::function<void()>>> WaitingForPrimary;
   admission::RetryBudget SlowReadBudget{
--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -177,11 +177,11 @@
     send(request, std::move(reply));
   }
 
-  /// Cancels a statement. The reply is sent only so that the caller can remove
-  /// the request from its list.
+  /// Cancels a statement, and replies that it has not run. A write that a
+  /// server may have received goes on, and its reply tells the outcome.
   void cancel(const relay::Request &request) {
     auto it = Runs.find(request.Sequence);
-    if (it == Runs.end())
+    if (it == Runs.end() || it->second->mayHaveWritten())
       return;
     it->second->cancel();
     Runs.erase(it);
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -124,6 +124,7 @@
   if (route()) {
     auto access = authorize().Result;
     if (access != Access::Granted) {
+      Context.OnAccessRefused(access, true);
       refuseOpen(access == Access::Denied ? ErrorCode::Denied : ErrorCode::Busy,
                  organisation::accessName(access));
       return;
@@ -149,7 +150,9 @@
 }
 
 organisation::Authorization Session::authorize() const {
-  const cluster::Route *current = Transaction ? &Transaction->Route : route();
+  const cluster::Route *current = route();
+  if (!current && Transaction)
+    current = &Transaction->Route;
   if (!current)
     return {};
   return Context.Authorize(*current, AccessKey);
@@ -220,6 +223,7 @@
     abortTransaction("organisation_changed");
   if (access.Result != Access::Unconfirmed || !needsAccess(it))
     return false;
+  Context.OnAccessRefused(access.Result, false);
   failTransaction();
   if (it.Kind == Verb::Commit)
     Transaction.reset();
@@ -229,6 +233,7 @@
 
 void Session::denyAndClose() {
   Context.Log.line("session_denied").add("database", Database);
+  Context.OnAccessRefused(Access::Denied, false);
   endTransaction();
   replyError(ErrorCode::Denied, organisation::accessName(Access::Denied));
   Connection->closeAfterSending();
@@ -239,14 +244,17 @@
   if (!Opened || Ended)
     return;
   auto access = authorize();
-  if (access.Result == Access::Unconfirmed)
-    return;
   bool denied = access.Result == Access::Denied;
-  if (Transaction &&
+  bool unconfirmed = access.Result == Access::Unconfirmed;
+  // The next statement of the transaction ends it if the access is still
+  // unconfirmed.
+  if (Transaction && !unconfirmed &&
       (denied || access.Organisation != Transaction->Organisation))
     abortTransaction("access_changed");
-  if (auto run = Run; run && (denied || access.Organisation != RunOrganisation))
-    run->withdraw();
+  bool granted =
+      !denied && !unconfirmed && access.Organisation == RunOrganisation;
+  if (auto run = Run; run && !granted)
+    run->withdraw(denied ? ErrorCode::Denied : ErrorCode::Busy);
 }
 
 bool Session::refuseWhileStopping(const sql::Statement &it) {
@@ -415,7 +423,21 @@
       Transaction->Failed = true;
     }
   }
+  bool withdrawn =
+      !result.FromServer && result.Reply.Error == ErrorCode::Denied;
+  if (withdrawn)
+    endTransaction();
   reply(result.Reply);
+  if (withdrawn) {
+    Context.Log.line("session_denied").add("database", Database);
+    Context.OnAccessRefused(Access::Denied, false);
+    Connection->closeAfterSending();
+    end();
+    return;
+  }
+  // The access may have changed while a server ran the statement.
+  if (Transaction)
+    recheckAccess();
   if (Context.Stop.EndsTransactions)
     abortTransaction("node stops");
   // A session that is never idle when the node looks for idle ones would go on
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -48,6 +48,9 @@
                                             std::string_view key)>
       Authorize;
   StopProgress Stop = {};
+  /// Called when the access to a route is refused to a client that opens a
+  /// session, or to the statement of an open session.
+  std::function<void(organisation::Access, bool opensSession)> OnAccessRefused;
 };
 
 class Session : public std::enable_shared_from_this<Session> {
@@ -67,7 +70,8 @@
   void abortTransaction(std::string_view reason);
   /// Checks the client's access key after the configuration changed. If the
   /// session may not go on for the same organisation, its transaction is
-  /// aborted, and a statement that no server has received is not run.
+  /// aborted, and a statement that no server has received is not run. The
+  /// session is closed after the reply to it if the key is not valid.
   void recheckAccess();
   /// Answers the statement in progress, if there is one, with what is known of
   /// its outcome: it was not sent to a server, or its reply has not arrived.
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -500,6 +500,10 @@
 
 void StatementRun::onError(const sql::Reply &reply, bool fromServer) {
   bool notRun = sql::promisesNoEffect(*reply.Error);
+  if (Withdrawn && notRun) {
+    finish(*Withdrawn, "access_withdrawn");
+    return;
+  }
   bool mayRepeat =
       notRun || (!Request.Writes && (*reply.Error == ErrorCode::Failed ||
                                      *reply.Error == ErrorCode::TimedOut));
@@ -534,6 +538,10 @@
 
 void StatementRun::retryOrFinish(ErrorCode code, RetryCause cause) {
   SlowTimer.cancel();
+  if (Withdrawn) {
+    finish(*Withdrawn, "access_withdrawn");
+    return;
+  }
   std::string server = Pool->server().Id;
   if (!Request.NeedsPrimary)
     Excluded.insert(server);
@@ -583,12 +591,16 @@
   finish(Request.Writes ? ErrorCode::InDoubt : ErrorCode::TimedOut, reason);
 }
 
-void StatementRun::withdraw() {
-  // The owner of the connections may still hold a relayed statement, and is
-  // told that it is not wanted. A write may have taken effect by now.
-  bool mayHaveRun = Sent && (!RelayChannel || Request.Writes);
-  if (!mayHaveRun && !isPinned())
-    finish(ErrorCode::Denied, "access_withdrawn");
+void StatementRun::withdraw(ErrorCode code) {
+  Withdrawn = code;
+  if (mayHaveWritten() || (Sent && !RelayChannel)) {
+    // The owner of the connections answers that it has cancelled the statement,
+    // or with the outcome if a server has received it.
+    if (RelayChannel)
+      RelayChannel->cancel(RelaySequence);
+    return;
+  }
+  finish(code, "access_withdrawn");
 }
 
 void StatementRun::releaseConnection() {
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -33,9 +33,13 @@
   /// Ends the statement with the result that is true now: it did not run if it
   /// was not sent to a server, and is in doubt or timed out otherwise.
   void giveUp(std::string_view reason);
-  /// Ends the statement because its client may not run it any more, unless it
-  /// may already have been sent to a server.
-  void withdraw();
+  /// Ends the statement with \p code because its client may not run it any
+  /// more, unless a server may already have received it. In that case it is not
+  /// repeated.
+  void withdraw(sql::ErrorCode code);
+  /// Whether a server may have received the statement, and it may have changed
+  /// data.
+  bool mayHaveWritten() const { return Sent && Request.Writes; }
 
 private:
   /// Chooses a server for the statement, again after each failed attempt.
@@ -106,6 +110,8 @@
   std::set<base::ServerId> Excluded;
   int Attempts = 0;
   bool Sent = false;
+  /// The reason why the statement must not be sent again.
+  std::optional<sql::ErrorCode> Withdrawn;
   bool PositionAwaited = false;
   bool Committing = false;
   kernel::Timer DeadlineTimer;
--- a/baobabpin/pooling/OrganisationPolicy.cpp
+++ b/baobabpin/pooling/OrganisationPolicy.cpp
@@ -10,6 +10,10 @@
 constexpr int ReserveDivisor = 8;
 constexpr double MinShare = 1e-3;
 
+int reserveOf(int maximum) {
+  return maximum > 1 ? std::max(1, maximum / ReserveDivisor) : 0;
+}
+
 OrganisationUse useOf(const OrganisationUses &uses,
                       const base::OrganisationName &organisation) {
   auto it = uses.find(organisation);
@@ -109,11 +113,21 @@
   return best;
 }
 
+bool mayReplace(const OrganisationUses &uses,
+                const base::OrganisationName &organisation, int maximum) {
+  if (useOf(uses, organisation).held() == 0)
+    return true;
+  int additional = 0;
+  for (const auto &[name, it] : uses)
+    additional += std::max(0, it.held() - 1);
+  return additional + 1 < maximum - reserveOf(maximum);
+}
+
 int openLimitFor(int maximum, const base::OrganisationName &organisation,
                  int held) {
   if (organisation.empty() || held == 0)
     return maximum;
-  return std::max(1, maximum - maximum / ReserveDivisor);
+  return std::max(1, maximum - reserveOf(maximum));
 }
 
 } // namespace baobabpin::pooling
--- a/baobabpin/pooling/OrganisationPolicy.h
+++ b/baobabpin/pooling/OrganisationPolicy.h
@@ -98,6 +98,13 @@
               const OrganisationUses &uses,
               const base::OrganisationName &organisation);
 
+/// Whether an idle connection of another organisation may be closed in favour
+/// of \p organisation when \p maximum connections are open. An organisation
+/// without any may always have the first one. The others leave the reserve of
+/// openLimitFor() to these.
+bool mayReplace(const OrganisationUses &uses,
+                const base::OrganisationName &organisation, int maximum);
+
 /// Returns how many connections may be open before one more is opened for an
 /// organisation that holds \p held of them. The last ones are reserved for
 /// organisations that hold none.
--- a/baobabpin/pooling/OrganisationPolicyTest.cpp
+++ b/baobabpin/pooling/OrganisationPolicyTest.cpp
@@ -107,6 +107,40 @@
   CHECK(chooseToClose({{"quiet", Now}}, uses, "quiet") == std::nullopt);
 }
 
+TEST_CASE("the reserve is not used up by replacing idle connections") {
+  // Guards against a busy organisation that takes the reserve in two steps: a
+  // small one opens its first connection there, which is then closed in favour
+  // of the busy one.
+  OrganisationUses uses{{"busy", {.Busy = 36, .Waiting = 5}},
+                        {"small", {.Idle = 1}}};
+  CHECK(mayReplace(uses, "busy", 42));
+  CHECK(mayReplace(uses, "new", 42));
+  uses["busy"].Busy = 37;
+  CHECK_FALSE(mayReplace(uses, "busy", 42));
+  CHECK(mayReplace(uses, "new", 42));
+  SUBCASE("many organisations with one connection each are no obstacle") {
+    uses.clear();
+    for (int n = 0; n < 42; ++n)
+      uses["o" + std::to_string(n)].Idle = 1;
+    CHECK(mayReplace(uses, "o1", 42));
+  }
+  SUBCASE("few connections have a reserve too") {
+    CHECK_FALSE(
+        mayReplace({{"busy", {.Busy = 7}}, {"small", {.Idle = 1}}}, "busy", 8));
+    CHECK(openLimitFor(6, "busy", 1) == 5);
+    CHECK(openLimitFor(2, "busy", 1) == 1);
+  }
+}
+
+TEST_CASE("refused connections are tried again ever less often") {
+  // Guards against attempts that cost a server at its limit as much as accepted
+  // connections.
+  CHECK(limitBackoff(1) == 250ms);
+  CHECK(limitBackoff(2) == 500ms);
+  CHECK(limitBackoff(4) == 2000ms);
+  CHECK(limitBackoff(1000) == 2000ms);
+}
+
 TEST_CASE("a transaction that rests too long gives way") {
   // Guards against clients that rest inside transactions and hold all
   // connections until the idle-transaction timeout.
@@ -223,7 +257,7 @@
     if (open >=
         openLimitFor(MaxOpen, *organisation, all[*organisation].held())) {
       auto surplus = chooseToClose(Idle, all, *organisation);
-      if (!surplus)
+      if (!surplus || !mayReplace(all, *organisation, MaxOpen))
         return false;
       Idle.erase(Idle.begin() + static_cast<std::ptrdiff_t>(*surplus));
     }
--- a/baobabpin/pooling/PoolPolicy.cpp
+++ b/baobabpin/pooling/PoolPolicy.cpp
@@ -20,6 +20,9 @@
 /// the usual rest, and after MinReclaimRest.
 constexpr int ReclaimFactor = 8;
 constexpr std::chrono::milliseconds MinReclaimRest{250};
+/// The first and the longest delay after a refused connection.
+constexpr std::chrono::milliseconds FirstLimitBackoff{250};
+constexpr std::chrono::milliseconds MaxLimitBackoff{2000};
 
 } // namespace
 
@@ -62,6 +65,13 @@
   return use.Transactions < std::max(1, share.Maximum - share.Reserved);
 }
 
+std::chrono::milliseconds limitBackoff(int refusals) {
+  auto delay = FirstLimitBackoff;
+  for (int n = 1; n < refusals && delay < MaxLimitBackoff; ++n)
+    delay *= 2;
+  return std::min(delay, MaxLimitBackoff);
+}
+
 int openingLimit(int slots, bool refused) {
   return refused ? 1 : std::max(1, slots / OpeningDivisor);
 }
--- a/baobabpin/pooling/PoolPolicy.h
+++ b/baobabpin/pooling/PoolPolicy.h
@@ -43,11 +43,12 @@
 /// an owner can be reached.
 ConnectionShare nonOwnerShare(int serverLimit);
 
-/// Delay before the next connection after the server refused one because of its
-/// limit. Another node frees a connection after about the duration of a
-/// transaction. Until one succeeds, they are opened one at a time, because a
-/// refused connection costs the server as much as an accepted one.
-inline constexpr std::chrono::milliseconds LimitBackoff{250};
+/// Delay before the next connection after the server refused \p refusals of
+/// them in a row because of its limit. Another node frees a connection after
+/// about the duration of a transaction. Until one succeeds, they are opened one
+/// at a time, because a refused connection costs the server as much as an
+/// accepted one.
+std::chrono::milliseconds limitBackoff(int refusals);
 /// Delay before the next connection after one could not be opened for another
 /// reason.
 inline constexpr std::chrono::milliseconds FailureBackoff{200};
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -223,10 +223,12 @@
 
 void ServerPool::openForWaiting(base::BootTime now) {
   if (Waiting.empty() || now < BackoffUntil ||
-      counts().Opening >= openingLimit(Server.Slots, LimitReached))
+      counts().Opening >= openingLimit(Server.Slots, LimitRefusals > 0))
     return;
   auto uses = organisationUses();
   auto organisation = chooseToOpenFor(startableWork(), uses);
+  if (!organisation && needsMoreOpen())
+    organisation.emplace();
   if (!organisation)
     return;
   ConnectionShare share = Share;
@@ -235,11 +237,22 @@
   PoolCounts it = counts();
   // The chosen work is not served by any of the connections being opened.
   it.Waiting = it.Opening + 1;
-  if (shouldOpen(it, share, BackoffUntil, now) ||
-      closeIdleInFavourOf(*organisation, uses))
+  bool hasRoom = shouldOpen(it, share, BackoffUntil, now);
+  bool replaces = (!hasRoom || LimitRefusals > 0) &&
+                  mayReplace(uses, *organisation, Share.Maximum) &&
+                  closeIdleInFavourOf(*organisation, uses);
+  if (hasRoom || replaces)
     openOne(*organisation);
 }
 
+bool ServerPool::needsMoreOpen() const {
+  auto now = use();
+  return std::ranges::any_of(Waiting, [&](const WaiterPtr &it) {
+    return it->Organisation.empty() && !mayGrant(now, Share, it->Kind) &&
+           mayGrantToOrganisation(now, Share, it->Kind);
+  });
+}
+
 bool ServerPool::closeIdleInFavourOf(const base::OrganisationName &organisation,
                                      const OrganisationUses &uses) {
   std::vector<IdleConnection> idle;
@@ -253,13 +266,12 @@
   removeFrom(Idle, connection);
   connection->OnSettled = nullptr;
   connection->close();
+  ++Events.Replaced;
   return true;
 }
 
 void ServerPool::reclaimIdleTransaction(base::BootTime now) {
-  auto counted = counts();
-  bool full = counted.Open + counted.Opening >= Share.Maximum;
-  if (!full || !lacksConnections())
+  if (!lacksConnections() || !isFull())
     return;
   ServerConnectionPtr longest;
   for (const auto &it : Busy) {
@@ -275,10 +287,21 @@
   removeFrom(Busy, longest);
   longest->OnSettled = nullptr;
   longest->close();
-  ++Reclaimed;
+  ++Events.Reclaimed;
   openForWaiting(now);
 }
 
+bool ServerPool::isFull() const {
+  auto counted = counts();
+  int total = counted.Open + counted.Opening;
+  if (total >= Share.Maximum || LimitRefusals > 0)
+    return true;
+  auto uses = organisationUses();
+  auto organisation = chooseToOpenFor(startableWork(), uses);
+  return organisation && total >= openLimitFor(Share.Maximum, *organisation,
+                                               uses[*organisation].held());
+}
+
 void ServerPool::openOne(const base::OrganisationName &organisation) {
   auto holder = std::make_shared<std::weak_ptr<ServerConnection>>();
   ServerConnectionPtr connection = ServerConnection::open(
@@ -315,7 +338,7 @@
     return;
   auto now = base::BootClock::now();
   if (!error) {
-    LimitReached = false;
+    LimitRefusals = 0;
     Condition.Unreachable = false;
     Condition.LastContact = std::max(Condition.LastContact, now);
     Idle.push_back(connection);
@@ -328,8 +351,10 @@
     // counts connections of hosts that lost power for some seconds.
     Condition.LastContact = now;
     Condition.Unreachable = false;
-    LimitReached = true;
-    BackoffUntil = now + LimitBackoff;
+    // Connections that were being opened at the same time count as one.
+    if (now >= BackoffUntil)
+      ++LimitRefusals;
+    BackoffUntil = now + limitBackoff(LimitRefusals);
     return;
   case sql::ErrorCode::WrongServer:
     Condition.WrongIdentity = true;
@@ -346,6 +371,19 @@
     refuseAll(sql::ErrorCode::Busy);
 }
 
+void ServerPool::addConnections(PoolConnections &sum) const {
+  sum.Idle += Idle.size();
+  sum.Busy += Busy.size();
+  sum.Opening += Opening.size();
+  sum.Abandoned += Abandoned.size();
+  for (const auto *list : {&Idle, &Busy, &Opening, &Abandoned}) {
+    for (const auto &it : *list) {
+      if (!it->Organisation.empty())
+        sum.Organisations.insert(it->Organisation);
+    }
+  }
+}
+
 void ServerPool::refuseAll(sql::ErrorCode code) {
   auto refused = std::exchange(Waiting, {});
   for (const auto &it : refused)
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace baobabpin::pooling {
@@ -49,6 +50,31 @@
 };
 using WaiterPtr = std::shared_ptr<Waiter>;
 
+/// How often a pool took connections from some work for the sake of other work.
+struct PoolEvents {
+  /// Transactions that were aborted because their clients rested while other
+  /// work waited for a connection.
+  std::uint64_t Reclaimed = 0;
+  /// Idle connections that were closed in favour of another organisation.
+  std::uint64_t Replaced = 0;
+
+  PoolEvents &operator+=(const PoolEvents &it) {
+    Reclaimed += it.Reclaimed;
+    Replaced += it.Replaced;
+    return *this;
+  }
+};
+
+/// The connections of pools by state, and the organisations that have any.
+struct PoolConnections {
+  std::size_t Idle = 0;
+  std::size_t Busy = 0;
+  std::size_t Opening = 0;
+  /// Their replies are outstanding, but no longer needed.
+  std::size_t Abandoned = 0;
+  std::set<base::OrganisationName> Organisations;
+};
+
 /// The condition of a server, as far as its replies show it.
 struct ServerCondition {
   /// When the latest statement that got a reply was sent, or when the server
@@ -102,9 +128,9 @@
   void shutDown();
 
   void setShare(ConnectionShare share) { Share = share; }
-  /// The number of transactions that were aborted because their clients rested
-  /// while other work waited for a connection.
-  std::uint64_t reclaimedCount() const { return Reclaimed; }
+  const PoolEvents &events() const { return Events; }
+  /// Adds the connections of this pool to \p sum.
+  void addConnections(PoolConnections &sum) const;
   const cluster::ServerRegistration &server() const { return Server; }
   void update(const cluster::ServerRegistration &server) { Server = server; }
   const ServerCondition &condition() const { return Condition; }
@@ -117,12 +143,17 @@
   /// Opens a connection if waiting work needs one and the limits allow it.
   /// Closes an idle one of another organisation if that makes room for it.
   void openForWaiting(base::BootTime now);
+  /// Whether a transaction without organisation waits that could run if more
+  /// connections were open, whether idle or not.
+  bool needsMoreOpen() const;
   bool closeIdleInFavourOf(const base::OrganisationName &organisation,
                            const OrganisationUses &uses);
   void openOne(const base::OrganisationName &organisation);
   /// Closes the connection of the transaction that has rested longest, if it
   /// has rested for unusually long and work waits that cannot get another one.
   void reclaimIdleTransaction(base::BootTime now);
+  /// Whether the limits allow no further connection for the waiting work.
+  bool isFull() const;
   void onOpened(const ServerConnectionPtr &connection,
                 std::optional<sql::ErrorCode> error);
   void grant(const ServerConnectionPtr &connection, const WaiterPtr &waiter);
@@ -156,12 +187,13 @@
   std::list<WaiterPtr> Waiting;
   admission::GrantRate Grants;
   base::BootTime BackoffUntil{};
-  /// The server refused the latest connection because of its limit.
-  bool LimitReached = false;
+  /// Connections that the server refused because of its limit since it last
+  /// accepted one.
+  int LimitRefusals = 0;
   FairTurns Turns;
   /// Moving average of the time between two statements of a transaction.
   std::chrono::nanoseconds UsualRest{0};
-  std::uint64_t Reclaimed = 0;
+  PoolEvents Events;
   bool Closing = false;
 };
 
