--- a/baobabpin/pooling/PoolPolicy.cpp
+++ b/baobabpin/pooling/PoolPolicy.cpp
@@ -18,6 +18,11 @@
 /// the usual rest, and after MinReclaimRest.
 constexpr int ReclaimFactor = 8;
 constexpr std::chrono::milliseconds MinReclaimRest{250};
+/// The first and the longest delay after a refused connection.
+constexpr std::chrono::milliseconds FirstLimitBackoff{250};
+/// A server counts the connections of a lost host for some seconds. A longer
+/// delay would leave those that it frees unused.
+constexpr std::chrono::milliseconds MaxLimitBackoff{500};
 
 } // namespace
 
@@ -60,6 +65,13 @@
   return use.Transactions < std::max(1, share.Maximum - share.Reserved);
 }
 
+std::chrono::milliseconds limitBackoff(int refusals) {
+  auto delay = FirstLimitBackoff;
+  for (int n = 1; n < refusals && delay < MaxLimitBackoff; ++n)
+    delay *= 2;
+  return std::min(delay, MaxLimitBackoff);
+}
+
 int openingLimit(int slots, bool byOrganisation, bool refused) {
   if (refused)
     return 1;
