Limit the operations of organisations over all nodes

An organisation's limit held on no node. Each limit is now split into two fixed halves, which two nodes grant from token buckets in memory; other nodes ask them as needed. A node grants only with a list of nodes that the store has confirmed within 1.8 s, and after ranking first without interruption for more than twice as long, so that there are never more than two granters.

Weighed: a substitute that grants while the first granter does not reply. A partial partition lets both grant for as long as it lasts, and a change of the list lets two first granters overlap by up to 1.8 s, which exceeds the overage.

--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -28,6 +28,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace baobabpin::control {
@@ -70,6 +71,11 @@
   void applySettings(const platform::HostSettings &changed) {
     platform::applyReloadableSettings(Settings, changed);
   }
+  /// Lets another service answer the peers' calls at \p path. May be called
+  /// after start().
+  void servePeerCalls(const std::string &path, http::RequestHandler handler) {
+    PeerServer->handle(path, std::move(handler));
+  }
   /// Adds a listener that is called after the view, the configuration or the
   /// servers have changed.
   void subscribe(std::function<void()> listener);
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -78,7 +78,7 @@
   Cluster = &kernel.find<control::ClusterService>("cluster");
   auto &loop = kernel.loop();
   Context = std::make_unique<SessionContext>(SessionContext{
-      loop, Log, *Cluster,
+      loop, Log, *Cluster, kernel.find<quota::QuotaService>("quota"),
       [this](const base::GroupName &name) { return group(name); },
       [this](const cluster::Route &route, const sql::Reply &reply,
              std::chrono::nanoseconds took) {
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -73,7 +73,8 @@
 
 void Session::processNext() {
   auto self = shared_from_this();
-  while (!Ended && !Run && !Pending.empty() && (Opened || Database.empty())) {
+  while (!Ended && !isBusy() && !Pending.empty() &&
+         (Opened || Database.empty())) {
     std::string line = std::move(Pending.front());
     Pending.pop_front();
     auto message = platform::parseClientMessage(line);
@@ -245,7 +246,11 @@
   if (Transaction &&
       (denied || access.Organisation != Transaction->Organisation))
     abortTransaction("access_changed");
-  if (auto run = Run; run && (denied || access.Organisation != RunOrganisation))
+  if (!denied && access.Organisation == RunOrganisation)
+    return;
+  if (AwaitingAdmission)
+    refuseWaiting(ErrorCode::Denied, "access_withdrawn");
+  else if (auto run = Run)
     run->withdraw();
 }
 
@@ -382,19 +387,76 @@
   }
   RunOrganisation = request.Organisation;
   request.Statement = std::move(it);
-  Verb verb = request.Statement.Kind;
-  auto onDone = [weak = weak_from_this(), route = *current, verb,
-                 writes = request.Writes,
-                 arrived = request.Arrived](RunResult result) {
+  admitAndRun(group, std::move(request));
+}
+
+void Session::admitAndRun(std::shared_ptr<GroupProxy> group,
+                          RunRequest request) {
+  SpentToken.reset();
+  if (request.Organisation.empty() || request.Pinned.isOpen()) {
+    run(std::move(group), std::move(request));
+    return;
+  }
+  auto waiter = std::make_shared<quota::AdmissionWaiter>();
+  waiter->Organisation = request.Organisation;
+  waiter->OnDone = [weak = weak_from_this()](const quota::Admission &it) {
     if (auto self = weak.lock())
+      self->onAdmission(it);
+  };
+  AwaitingAdmission = {std::move(group), std::move(request), waiter};
+  if (auto admission = Context.Quota.admit(waiter))
+    onAdmission(*admission);
+}
+
+void Session::onAdmission(const quota::Admission &admission) {
+  if (!admission.Granted) {
+    refuseWaiting(ErrorCode::TooManyConnections, admission.RefusalText);
+    return;
+  }
+  SpentToken = admission.Spent;
+  auto waiting = *std::exchange(AwaitingAdmission, std::nullopt);
+  run(std::move(waiting.Group), std::move(waiting.Request));
+}
+
+void Session::refuseWaiting(ErrorCode code, std::string_view reason) {
+  auto waiting = *std::exchange(AwaitingAdmission, std::nullopt);
+  waiting.Waiter->OnDone = nullptr;
+  RunResult result;
+  result.Reply.Error = code;
+  result.Reply.ErrorText = reason;
+  const auto &request = waiting.Request;
+  onRunDone(request.Route, request.Statement.Kind, request.Writes,
+            request.Arrived, std::move(result));
+}
+
+void Session::run(std::shared_ptr<GroupProxy> group, RunRequest request) {
+  auto onDone = [weak = weak_from_this(), route = request.Route,
+                 verb = request.Statement.Kind, writes = request.Writes,
+                 arrived = request.Arrived](RunResult result) {
+    if (auto self = weak.lock()) {
+      self->returnToken(result);
       self->onRunDone(route, verb, writes, arrived, std::move(result));
+    }
   };
-  Run = std::make_shared<StatementRun>(Context.Loop, Context.Log, group,
-                                       std::move(request), std::move(onDone));
+  Run = std::make_shared<StatementRun>(Context.Loop, Context.Log,
+                                       std::move(group), std::move(request),
+                                       std::move(onDone));
   auto run = Run;
   run->start();
 }
 
+void Session::returnToken(const RunResult &result) {
+  auto token = std::exchange(SpentToken, std::nullopt);
+  const auto &error = result.Reply.Error;
+  // ABORTED is not among these, because its statement may have run.
+  bool reachedNoServer =
+      error && !result.FromServer &&
+      (*error == ErrorCode::Busy || *error == ErrorCode::TooManyConnections ||
+       *error == ErrorCode::Lagging);
+  if (token && reachedNoServer)
+    Context.Quota.giveBack(RunOrganisation, *token);
+}
+
 void Session::onRunDone(const cluster::Route &route, Verb verb, bool writes,
                         base::BootTime arrived, RunResult result) {
   Run.reset();
@@ -449,14 +511,14 @@
 
 void Session::abortIdleTransactions(base::BootTime now) {
   const auto *config = Context.Cluster.configuration();
-  if (!Transaction || Run || Transaction->Failed || !config)
+  if (!Transaction || isBusy() || Transaction->Failed || !config)
     return;
   if (now - Transaction->LastActive > config->TransactionIdle)
     abortTransaction("idle transaction");
 }
 
 void Session::abortTransaction(std::string_view reason) {
-  if (!Transaction || Transaction->Failed || Run)
+  if (!Transaction || Transaction->Failed || isBusy())
     return;
   Context.Log.line("transaction_aborted")
       .add("database", Database)
@@ -468,7 +530,8 @@
 
 void Session::requestCloseIfIdle(base::BootTime now,
                                  std::chrono::nanoseconds idle) {
-  bool isBetweenOperations = Opened && !Run && !Transaction && Pending.empty();
+  bool isBetweenOperations =
+      Opened && !isBusy() && !Transaction && Pending.empty();
   if (!isBetweenOperations || CloseRequested || Ended ||
       now - LastActive < idle)
     return;
@@ -480,7 +543,9 @@
 }
 
 void Session::answerNow() {
-  if (auto run = Run)
+  if (AwaitingAdmission)
+    refuseWaiting(ErrorCode::Busy, "node_stops");
+  else if (auto run = Run)
     run->giveUp("node_stops");
 }
 
@@ -497,6 +562,9 @@
     return;
   auto self = shared_from_this();
   OpenTimer.cancel();
+  if (AwaitingAdmission)
+    AwaitingAdmission->Waiter->OnDone = nullptr;
+  AwaitingAdmission.reset();
   if (Run)
     std::exchange(Run, nullptr)->cancel();
   releaseTransactionConnection();
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -9,6 +9,7 @@
 #include "baobabpin/frontend/StatementRun.h"
 #include "baobabpin/net/LineConnection.h"
 #include "baobabpin/organisation/Authorization.h"
+#include "baobabpin/quota/QuotaService.h"
 #include "platform/Wire.h"
 
 #include <deque>
@@ -36,6 +37,7 @@
   kernel::EventLoop &Loop;
   kernel::LineLog &Log;
   control::ClusterService &Cluster;
+  quota::QuotaService &Quota;
   /// The group of a route, or null if the configuration does not name it.
   std::function<std::shared_ptr<GroupProxy>(const base::GroupName &)> Group;
   /// Called with the outcome of a statement and its latency.
@@ -104,8 +106,19 @@
   bool refuseWhileStopping(const sql::Statement &it);
   bool answerLocally(const sql::Statement &it);
   void execute(const std::string &id, sql::Statement it);
+  /// Runs the statement if its organisation has not reached its limit. Only the
+  /// first statement of a transaction is counted.
+  void admitAndRun(std::shared_ptr<GroupProxy> group, RunRequest request);
+  void onAdmission(const quota::Admission &admission);
+  /// Ends a statement that waits for its admission with an error.
+  void refuseWaiting(sql::ErrorCode code, std::string_view reason);
+  void run(std::shared_ptr<GroupProxy> group, RunRequest request);
   void onRunDone(const cluster::Route &route, sql::Verb verb, bool writes,
                  base::BootTime arrived, RunResult result);
+  /// Returns the token of a statement that reached no server.
+  void returnToken(const RunResult &result);
+  /// Whether a statement runs or waits for its admission.
+  bool isBusy() const { return Run || AwaitingAdmission; }
   /// Rolls the transaction back. Until the client ends the transaction, each
   /// of its statements gets an error.
   void failTransaction();
@@ -146,7 +159,16 @@
   std::map<std::string, PreparedStatement> Prepared;
   std::optional<OpenTransaction> Transaction;
   std::shared_ptr<StatementRun> Run;
-  /// The organisation for which Run works.
+  /// A statement that waits for its admission.
+  struct WaitingRun {
+    std::shared_ptr<GroupProxy> Group;
+    RunRequest Request;
+    quota::AdmissionWaiterPtr Waiter;
+  };
+  std::optional<WaitingRun> AwaitingAdmission;
+  /// The token that Run has spent.
+  std::optional<quota::Token> SpentToken;
+  /// The organisation for which Run or AwaitingAdmission works.
   base::OrganisationName RunOrganisation;
   std::optional<base::LogPosition> OwnCommit;
   std::uint64_t OwnEpoch = 0;
--- a/baobabpin/node/PlatformNode.cpp
+++ b/baobabpin/node/PlatformNode.cpp
@@ -2,6 +2,7 @@
 
 #include "baobabpin/control/NodeRetirement.h"
 #include "baobabpin/frontend/FrontendService.h"
+#include "baobabpin/quota/QuotaService.h"
 
 #include <csignal>
 #include <filesystem>
@@ -38,6 +39,7 @@
         service->check(name);
       };
   kernel.add(std::move(cluster));
+  kernel.add(std::make_unique<quota::QuotaService>(settings, log));
   kernel.add(std::move(frontend));
   kernel.add(std::move(failover));
   kernel.add(std::make_unique<control::NodeRetirement>(log));
--- /dev/null
+++ b/baobabpin/quota/GranterRoleTest.cpp
@@ -0,0 +1,111 @@
+#include "baobabpin/quota/GranterRole.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+namespace baobabpin::quota {
+namespace {
+
+using namespace std::chrono_literals;
+
+base::BootTime at(std::chrono::nanoseconds time) {
+  return base::BootTime(1000s) + time;
+}
+
+std::map<std::string, int> fleet(int nodes) {
+  std::map<std::string, int> it;
+  for (int n = 0; n < nodes; ++n)
+    it.emplace("n" + std::to_string(n), n % 10 == 0 ? 500 : 120);
+  return it;
+}
+
+std::vector<std::string> names(const GranterRanking &ranking,
+                               const std::string &organisation) {
+  std::vector<std::string> list;
+  for (const auto &it : ranking.ranked(organisation))
+    list.push_back(it.Node);
+  return list;
+}
+
+TEST_CASE("a ranking that is kept up to date equals a new one") {
+  // Guards against nodes that rank the granters differently because they have
+  // learned of the nodes in another order.
+  std::vector<base::OrganisationName> organisations;
+  for (int n = 0; n < 74; ++n)
+    organisations.push_back("org" + std::to_string(n));
+  GranterRanking kept;
+  auto nodes = fleet(3);
+  auto check = [&] {
+    kept.update(organisations, nodes);
+    GranterRanking fresh;
+    fresh.update(organisations, nodes);
+    for (const auto &it : organisations)
+      REQUIRE(names(kept, it) == names(fresh, it));
+  };
+  check();
+  nodes.erase("n1");
+  nodes.erase("n2");
+  check();
+  nodes = fleet(64);
+  check();
+  nodes.erase("n10");
+  nodes["n11"] = 5000;
+  check();
+  nodes["n0"] = 1;
+  nodes.emplace("n99", 120);
+  check();
+  organisations.erase(organisations.begin());
+  organisations.push_back("new");
+  check();
+}
+
+TEST_CASE("organisations are spread over the nodes by capacity") {
+  std::vector<base::OrganisationName> organisations;
+  for (int n = 0; n < 5000; ++n)
+    organisations.push_back("org" + std::to_string(n));
+  GranterRanking ranking;
+  ranking.update(organisations, fleet(64));
+  int large = 0;
+  for (const auto &it : organisations)
+    large += names(ranking, it).front().back() == '0' ? 1 : 0;
+  // 7 of the 64 nodes have 500 of a thousandth of a core, the others 120.
+  double share = 7 * 500.0 / (7 * 500 + 57 * 120);
+  CHECK(large / 5000.0 == doctest::Approx(share).epsilon(0.1));
+}
+
+TEST_CASE("a node grants after it has been a granter for long enough") {
+  GranterRole role;
+  RoleSample sample{true, 1, 0, 100, at(0s)};
+  auto run = [&](std::chrono::milliseconds from, std::chrono::milliseconds to) {
+    for (auto time = from; time < to; time += 50ms) {
+      sample.ConfirmedAt = at(time);
+      updateRole(role, sample, at(time));
+    }
+    return isGranting(role, at(to - 50ms), at(to - 50ms));
+  };
+  CHECK_FALSE(run(0ms, 3800ms));
+  CHECK(run(3800ms, 4000ms));
+  SUBCASE("it stops when the store has not confirmed the list") {
+    CHECK(isGranting(role, at(3950ms), at(3950ms + 1800ms)));
+    CHECK_FALSE(isGranting(role, at(3950ms), at(3950ms + 1801ms)));
+  }
+  SUBCASE("it begins anew after it was suspended") {
+    CHECK_FALSE(run(6s, 7s));
+    CHECK(run(7s, 10s));
+  }
+  SUBCASE("it begins anew when it was not a granter for a moment") {
+    sample.Eligible = false;
+    CHECK_FALSE(run(4000ms, 4050ms));
+    sample.Eligible = true;
+    CHECK_FALSE(run(4050ms, 7800ms));
+    CHECK(run(7800ms, 8200ms));
+  }
+  SUBCASE("it begins anew when the store was restored from a copy") {
+    sample.Era = 1;
+    CHECK_FALSE(run(4000ms, 7800ms));
+  }
+}
+
+} // namespace
+} // namespace baobabpin::quota
