Bound what a client may send before its session is open

Connections that send endless lines without opening a session held up to 1 MiB each and kept the event loop of a node with 0.12 core busy. What follows that line stays in the socket until the session is open, so that statements that a client sends right after START still work. A line other than START is still answered with MALFORMED, and the connection is closed then.

Weighed: to close a connection that sends more than one line before READY; that would break clients that do not wait for the reply to START.

--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -83,6 +83,9 @@
   std::optional<std::map<base::OrganisationName, Organisation>> Organisations;
   /// A transaction may be aborted when it runs no statement for this long.
   std::chrono::milliseconds TransactionIdle{3000};
+  /// A client connection is closed unless its client opens a session within
+  /// this time.
+  std::chrono::milliseconds HeaderTimeout{3000};
 };
 
 /// The registration that a database server writes about itself.
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -17,6 +17,9 @@
 /// The maximum size of the replies that wait to be sent, in bytes. A client
 /// that sends a message while more wait is disconnected.
 constexpr std::size_t MaxUnsentBytes = 4u << 20;
+/// The maximum length of the line that opens a session, in bytes. It leaves
+/// room for long names of databases and for long access keys.
+constexpr std::size_t MaxHeaderBytes = 512;
 /// How long a client waits for a starting node to receive its configuration.
 constexpr milliseconds ConfigurationWaitLimit{1500};
 constexpr milliseconds ConfigurationRetryDelay{50};
@@ -41,11 +44,33 @@
   Connection = net::LineConnection::adopt(
       Context.Loop, Fd,
       net::makeWeakHandlers(shared_from_this(), &Session::onLine,
-                            &Session::end));
+                            &Session::end),
+      MaxHeaderBytes);
+  const auto *config = Context.Cluster.configuration();
+  auto timeout =
+      config ? config->HeaderTimeout : cluster::Configuration().HeaderTimeout;
+  HeaderTimer = Context.Loop.runAfter(timeout, [weak = weak_from_this()] {
+    // A line that has arrived while the loop was late is read in this turn.
+    if (auto self = weak.lock())
+      self->HeaderTimer = self->Context.Loop.runAfter({}, [weak] {
+        if (auto again = weak.lock())
+          again->onHeaderTimeout();
+      });
+  });
+}
+
+void Session::onHeaderTimeout() {
+  Context.Log.line("client_closed").add("reason", "header_timeout");
+  end();
 }
 
 void Session::onLine(std::string_view line) {
   LastActive = base::BootClock::now();
+  if (Database.empty()) {
+    // What follows stays unread until the session is open.
+    HeaderTimer.cancel();
+    Connection->pauseReading();
+  }
   if (CloseRequested) {
     answerRequestAfterNotice(line);
     return;
@@ -130,6 +155,7 @@
     }
     Opened = true;
     Connection->send(platform::formatReady(TransactionState::Idle));
+    Connection->resumeReading(net::MaxLineBytes);
     processNext();
     return;
   }
@@ -184,8 +210,15 @@
 }
 
 void Session::onQuery(const platform::ClientQuery &query) {
+  if (!Opened) {
+    // A client may send one line before its session is open.
+    replyError(ErrorCode::Malformed, "statement");
+    Connection->closeAfterSending();
+    end();
+    return;
+  }
   auto statement = platform::parseStatement(query.Text);
-  if (!Opened || !statement) {
+  if (!statement) {
     failTransaction();
     replyError(ErrorCode::Malformed, "statement");
     return;
@@ -497,6 +530,7 @@
     return;
   auto self = shared_from_this();
   OpenTimer.cancel();
+  HeaderTimer.cancel();
   if (Run)
     std::exchange(Run, nullptr)->cancel();
   releaseTransactionConnection();
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -93,6 +93,8 @@
   };
 
   void onLine(std::string_view line);
+  /// Closes the connection of a client that has not sent its START in time.
+  void onHeaderTimeout();
   void processNext();
   void onOpen(const platform::OpenSession &open);
   void finishOpen();
@@ -152,6 +154,7 @@
   std::uint64_t OwnEpoch = 0;
   base::BootTime OpenRequestedAt{};
   kernel::Timer OpenTimer;
+  kernel::Timer HeaderTimer;
 };
 
 } // namespace baobabpin::frontend
--- a/baobabpin/net/LineConnection.cpp
+++ b/baobabpin/net/LineConnection.cpp
@@ -25,6 +25,8 @@
 /// (TCP_USER_TIMEOUT).
 constexpr std::chrono::milliseconds TcpUserTimeout{6000};
 constexpr int ListenBacklog = 512;
+/// CR and LF.
+constexpr std::size_t LineEndBytes = 2;
 
 /// Returns nothing if the endpoint's address is not an IPv4 address.
 std::optional<sockaddr_in> makeAddress(const http::Endpoint &endpoint) {
@@ -48,7 +50,7 @@
 std::shared_ptr<LineConnection>
 LineConnection::connect(kernel::EventLoop &loop, const http::Endpoint &endpoint,
                         LineHandlers handlers) {
-  std::shared_ptr<LineConnection> connection(new LineConnection);
+  std::shared_ptr<LineConnection> connection(new LineConnection(loop));
   auto *raw = bufferevent_socket_new(
       loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   connection->attach(raw, std::move(handlers));
@@ -64,9 +66,12 @@
   return connection;
 }
 
-std::shared_ptr<LineConnection>
-LineConnection::adopt(kernel::EventLoop &loop, int fd, LineHandlers handlers) {
-  std::shared_ptr<LineConnection> connection(new LineConnection);
+std::shared_ptr<LineConnection> LineConnection::adopt(kernel::EventLoop &loop,
+                                                      int fd,
+                                                      LineHandlers handlers,
+                                                      std::size_t lineLimit) {
+  std::shared_ptr<LineConnection> connection(new LineConnection(loop));
+  connection->LineLimit = lineLimit;
   configureSocket(fd);
   auto *raw = bufferevent_socket_new(
       loop.base(), fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -92,17 +97,43 @@
         self->closeAndNotify();
       },
       this);
+  setLineLimit(LineLimit);
   bufferevent_enable(raw, EV_READ | EV_WRITE);
 }
 
+void LineConnection::setLineLimit(std::size_t bytes) {
+  LineLimit = bytes;
+  bufferevent_setwatermark(Raw, EV_READ, 0, bytes + LineEndBytes);
+}
+
 LineConnection::~LineConnection() { close(); }
 
+void LineConnection::pauseReading() {
+  if (!Raw || std::exchange(Paused, true))
+    return;
+  bufferevent_disable(Raw, EV_READ);
+}
+
+void LineConnection::resumeReading(std::size_t lineLimit) {
+  if (!Raw)
+    return;
+  setLineLimit(lineLimit);
+  if (!std::exchange(Paused, false))
+    return;
+  bufferevent_enable(Raw, EV_READ);
+  Continuation = Loop.runAfter({}, [weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->readLines();
+  });
+}
+
 void LineConnection::send(std::string_view data) {
   if (Raw)
     bufferevent_write(Raw, data.data(), data.size());
 }
 
 void LineConnection::close() {
+  Continuation.cancel();
   if (Raw)
     bufferevent_free(std::exchange(Raw, nullptr));
 }
@@ -114,7 +145,8 @@
     close();
     return;
   }
-  bufferevent_disable(Raw, EV_READ);
+  pauseReading();
+  Continuation.cancel();
   bufferevent_setcb(
       Raw, nullptr,
       [](bufferevent *, void *arg) {
@@ -131,10 +163,11 @@
 }
 
 void LineConnection::readLines() {
-  while (Raw) {
+  while (Raw && !Paused) {
     evbuffer *buf = bufferevent_get_input(Raw);
     if (!findLineEnd(buf)) {
-      if (evbuffer_get_length(buf) > MaxLineBytes)
+      // The last byte may be the first one of the line end.
+      if (evbuffer_get_length(buf) > LineLimit + 1)
         closeAndNotify();
       return;
     }
@@ -144,7 +177,7 @@
     if (!line)
       return;
     std::unique_ptr<char, decltype(&free)> holder(line, &free);
-    if (n > MaxLineBytes) {
+    if (n > LineLimit) {
       closeAndNotify();
       return;
     }
--- a/baobabpin/net/LineConnection.h
+++ b/baobabpin/net/LineConnection.h
@@ -61,15 +61,22 @@
   static std::shared_ptr<LineConnection> connect(kernel::EventLoop &loop,
                                                  const http::Endpoint &endpoint,
                                                  LineHandlers handlers);
-  /// Returns a connection that owns the accepted socket \p fd.
-  static std::shared_ptr<LineConnection> adopt(kernel::EventLoop &loop, int fd,
-                                               LineHandlers handlers);
+  /// Returns a connection that owns the accepted socket \p fd. It is closed
+  /// when a line is longer than \p lineLimit.
+  static std::shared_ptr<LineConnection>
+  adopt(kernel::EventLoop &loop, int fd, LineHandlers handlers,
+        std::size_t lineLimit = MaxLineBytes);
   ~LineConnection();
   LineConnection(const LineConnection &) = delete;
   LineConnection &operator=(const LineConnection &) = delete;
 
   /// Buffers \p data, which must include line endings, for sending.
   void send(std::string_view data);
+  /// Stops reading and passing on lines until resumeReading().
+  void pauseReading();
+  /// Goes on reading, from the next turn of the event loop on, with a new limit
+  /// for the length of a line.
+  void resumeReading(std::size_t lineLimit);
   /// Closes the connection immediately and discards unsent data.
   void close();
   /// Stops reading and closes the connection when all data has been sent.
@@ -79,8 +86,10 @@
   std::size_t pendingBytes() const;
 
 private:
-  LineConnection() = default;
+  explicit LineConnection(kernel::EventLoop &loop) : Loop(loop) {}
   void attach(bufferevent *raw, LineHandlers handlers);
+  /// Bounds the input buffer to one line. The rest stays in the socket.
+  void setLineLimit(std::size_t bytes);
   /// Passes all complete lines in the input buffer to the handler.
   void readLines();
   /// Returns whether the input buffer contains a line end. Searches each byte
@@ -89,8 +98,13 @@
   /// Closes the connection and calls OnClosed.
   void closeAndNotify();
 
+  kernel::EventLoop &Loop;
   bufferevent *Raw = nullptr;
   LineHandlers Handlers;
+  std::size_t LineLimit = MaxLineBytes;
+  bool Paused = false;
+  /// Passes on the lines that are already buffered.
+  kernel::Timer Continuation;
   /// The number of buffered bytes that are known to contain no line end.
   std::size_t Searched = 0;
 };
--- a/baobabpin/net/LineConnectionTest.cpp
+++ b/baobabpin/net/LineConnectionTest.cpp
@@ -127,5 +127,57 @@
   CHECK(lines == std::vector<std::string>{"one", "", "two\rmore"});
 }
 
+TEST_CASE("a line above the limit ends the connection without reading on") {
+  // Guards against memory and processor time spent on endless lines.
+  kernel::EventLoop loop;
+  int ends[2];
+  REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) == 0);
+  std::vector<std::string> lines;
+  int closed = 0;
+  LineHandlers handlers;
+  handlers.OnClosed = [&] { ++closed; };
+  std::shared_ptr<LineConnection> connection;
+  handlers.OnLine = [&](std::string_view line) {
+    lines.emplace_back(line);
+    connection->pauseReading();
+  };
+  constexpr std::size_t Limit = 512;
+  connection = LineConnection::adopt(loop, ends[1], handlers, Limit);
+  auto write = [&](const std::string &text) {
+    return send(ends[0], text.data(), text.size(), MSG_NOSIGNAL);
+  };
+  auto runFor = [&loop](base::Duration time) {
+    auto limit = loop.runAfter(time, [&] { loop.stop(); });
+    loop.run();
+  };
+  const std::string longest(Limit, 'a');
+  SUBCASE("the longest line is accepted, also with its end in two pieces") {
+    write(longest + "\r");
+    runFor(100ms);
+    write("\nnext\r\n");
+    runFor(100ms);
+    // The second line waits while reading is paused.
+    CHECK(lines == std::vector<std::string>{longest});
+    connection->resumeReading(MaxLineBytes);
+    runFor(100ms);
+    CHECK(lines == std::vector<std::string>{longest, "next"});
+    connection->resumeReading(MaxLineBytes);
+    const std::string longer(100'000, 'b');
+    write(longer + "\r\n");
+    runFor(100ms);
+    REQUIRE(lines.size() == 3);
+    CHECK(lines.back() == longer);
+    CHECK(closed == 0);
+  }
+  SUBCASE("a longer line ends it after 514 bytes") {
+    // The writer gets no further than the buffers of the sockets.
+    write(std::string(100'000, 'a'));
+    runFor(100ms);
+    CHECK(closed == 1);
+    CHECK(lines.empty());
+  }
+  close(ends[0]);
+}
+
 } // namespace
 } // namespace baobabpin::net
