Bound what is read from each client in one turn of the event loop

A client that sends without pause delayed the calls of peers and the replies of servers, because all its buffered lines were handled before the next event, and because a listener accepted all waiting connections at once. In one turn of the loop, a session now reads at most 4 KiB and handles at most 16 lines, and a listener accepts at most 16 connections. Lines above the limit wait for the next turn, and the socket is not read until they are handled, so that the buffer stays bounded. Connections between nodes and to servers are read as before.

Weighed: event priorities of libevent, with servers, peers and the store before clients. The loop runs a lower priority only in a turn without any event of a higher one, so that a node whose relayed work fills its processor share would never read from its clients.

--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -20,6 +20,11 @@
 /// The maximum length of the line that opens a session, in bytes. It leaves
 /// room for long names of databases and for long access keys.
 constexpr std::size_t MaxHeaderBytes = 512;
+/// What is read from a client in one turn of the event loop. With 200 clients
+/// that send without pause, a turn reads less than 1 MB, which a whole core
+/// handles in a few milliseconds.
+constexpr std::size_t BytesPerTurn = 4096;
+constexpr std::size_t LinesPerTurn = 16;
 /// How long a client waits for a starting node to receive its configuration.
 constexpr milliseconds ConfigurationWaitLimit{1500};
 constexpr milliseconds ConfigurationRetryDelay{50};
@@ -46,6 +51,7 @@
       net::makeWeakHandlers(shared_from_this(), &Session::onLine,
                             &Session::end),
       MaxHeaderBytes);
+  Connection->limitReading(BytesPerTurn, LinesPerTurn);
   const auto *config = Context.Cluster.configuration();
   auto timeout =
       config ? config->HeaderTimeout : cluster::Configuration().HeaderTimeout;
--- a/baobabpin/net/LineConnection.cpp
+++ b/baobabpin/net/LineConnection.cpp
@@ -25,6 +25,9 @@
 /// (TCP_USER_TIMEOUT).
 constexpr std::chrono::milliseconds TcpUserTimeout{6000};
 constexpr int ListenBacklog = 512;
+/// The number of connections that a listener accepts in one turn of the event
+/// loop.
+constexpr int AcceptsPerTurn = 16;
 /// CR and LF.
 constexpr std::size_t LineEndBytes = 2;
 
@@ -93,6 +96,7 @@
         if (what & BEV_EVENT_CONNECTED)
           return;
         // The data that was received before the end may contain complete lines.
+        self->LinesPerTurn = 0;
         self->readLines();
         self->closeAndNotify();
       },
@@ -120,7 +124,18 @@
   setLineLimit(lineLimit);
   if (!std::exchange(Paused, false))
     return;
+  LinesWait = false;
   bufferevent_enable(Raw, EV_READ);
+  continueReading();
+}
+
+void LineConnection::limitReading(std::size_t bytes, std::size_t lines) {
+  if (Raw)
+    bufferevent_set_max_single_read(Raw, bytes);
+  LinesPerTurn = lines;
+}
+
+void LineConnection::continueReading() {
   Continuation = Loop.runAfter({}, [weak = weak_from_this()] {
     if (auto self = weak.lock())
       self->readLines();
@@ -163,14 +178,24 @@
 }
 
 void LineConnection::readLines() {
+  std::size_t passedOn = 0;
   while (Raw && !Paused) {
     evbuffer *buf = bufferevent_get_input(Raw);
     if (!findLineEnd(buf)) {
       // The last byte may be the first one of the line end.
       if (evbuffer_get_length(buf) > LineLimit + 1)
         closeAndNotify();
+      else if (std::exchange(LinesWait, false))
+        bufferevent_enable(Raw, EV_READ);
       return;
     }
+    if (LinesPerTurn != 0 && passedOn == LinesPerTurn) {
+      if (!std::exchange(LinesWait, true))
+        bufferevent_disable(Raw, EV_READ);
+      continueReading();
+      return;
+    }
+    ++passedOn;
     std::size_t n = 0;
     char *line = evbuffer_readln(buf, &n, EVBUFFER_EOL_CRLF_STRICT);
     Searched = 0;
@@ -224,8 +249,7 @@
   Raw = evconnlistener_new_bind(
       Loop.base(),
       [](evconnlistener *, evutil_socket_t fd, sockaddr *, int, void *arg) {
-        auto *self = static_cast<Listener *>(arg);
-        kernel::runGuarded("accept", [&] { self->OnAccept(fd); });
+        static_cast<Listener *>(arg)->accept(fd);
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
       reinterpret_cast<sockaddr *>(&*address), sizeof *address);
@@ -235,7 +259,19 @@
   return {};
 }
 
+void Listener::accept(int fd) {
+  if (++AcceptedInTurn >= AcceptsPerTurn) {
+    evconnlistener_disable(Raw);
+    NextTurn = Loop.runAfter({}, [this] {
+      AcceptedInTurn = 0;
+      evconnlistener_enable(Raw);
+    });
+  }
+  kernel::runGuarded("accept", [&] { OnAccept(fd); });
+}
+
 void Listener::stop() {
+  NextTurn.cancel();
   if (Raw)
     evconnlistener_free(std::exchange(Raw, nullptr));
 }
--- a/baobabpin/net/LineConnection.h
+++ b/baobabpin/net/LineConnection.h
@@ -72,6 +72,10 @@
 
   /// Buffers \p data, which must include line endings, for sending.
   void send(std::string_view data);
+  /// Reads at most \p bytes, and passes on at most \p lines lines, in one turn
+  /// of the event loop, so that a peer that sends without pause does not delay
+  /// the others.
+  void limitReading(std::size_t bytes, std::size_t lines);
   /// Stops reading and passing on lines until resumeReading().
   void pauseReading();
   /// Goes on reading, from the next turn of the event loop on, with a new limit
@@ -90,8 +94,11 @@
   void attach(bufferevent *raw, LineHandlers handlers);
   /// Bounds the input buffer to one line. The rest stays in the socket.
   void setLineLimit(std::size_t bytes);
-  /// Passes all complete lines in the input buffer to the handler.
+  /// Passes the complete lines in the input buffer to the handler. Those above
+  /// LinesPerTurn wait for the next turn, and nothing is read until then.
   void readLines();
+  /// Calls readLines() in the next turn of the event loop.
+  void continueReading();
   /// Returns whether the input buffer contains a line end. Searches each byte
   /// once, however many arrivals a line takes.
   bool findLineEnd(evbuffer *buf);
@@ -102,14 +109,18 @@
   bufferevent *Raw = nullptr;
   LineHandlers Handlers;
   std::size_t LineLimit = MaxLineBytes;
+  /// Zero if the number of lines is not limited.
+  std::size_t LinesPerTurn = 0;
   bool Paused = false;
-  /// Passes on the lines that are already buffered.
+  /// Buffered lines wait for the next turn.
+  bool LinesWait = false;
   kernel::Timer Continuation;
   /// The number of buffered bytes that are known to contain no line end.
   std::size_t Searched = 0;
 };
 
-/// Listens on an endpoint and accepts TCP connections.
+/// Listens on an endpoint and accepts TCP connections, a bounded number in each
+/// turn of the event loop.
 class Listener {
 public:
   /// Called with the socket of each accepted connection. The handler owns the
@@ -127,9 +138,14 @@
   void stop();
 
 private:
+  void accept(int fd);
+
   kernel::EventLoop &Loop;
   evconnlistener *Raw = nullptr;
   AcceptHandler OnAccept;
+  /// The number of connections accepted since the listener was last enabled.
+  int AcceptedInTurn = 0;
+  kernel::Timer NextTurn;
 };
 
 } // namespace baobabpin::net
--- a/baobabpin/net/LineConnectionTest.cpp
+++ b/baobabpin/net/LineConnectionTest.cpp
@@ -2,9 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <ctime>
 #include <memory>
 #include <string>
@@ -179,5 +181,95 @@
   close(ends[0]);
 }
 
+TEST_CASE("a peer that sends many lines does not delay the others") {
+  // Guards against a loop that handles all lines of one peer before it reads
+  // from the next one, or accepts all waiting connections at once.
+  kernel::EventLoop loop;
+  constexpr int Lines = 900;
+  int busy[2];
+  int quiet[2];
+  REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, busy) == 0);
+  REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, quiet) == 0);
+  std::vector<std::string> received;
+  int linesBeforeOther = -1;
+  bool ended = false;
+  LineHandlers handlers;
+  handlers.OnLine = [&](std::string_view line) { received.emplace_back(line); };
+  handlers.OnClosed = [&] { ended = true; };
+  LineHandlers others;
+  others.OnLine = [&](std::string_view) {
+    linesBeforeOther = static_cast<int>(received.size());
+  };
+  auto first = LineConnection::adopt(loop, busy[1], handlers);
+  auto second = LineConnection::adopt(loop, quiet[1], others);
+  first->limitReading(4096, 16);
+  std::string text;
+  for (int n = 0; n < Lines; ++n)
+    text += std::to_string(n) + "\r\n";
+  REQUIRE(send(busy[0], text.data(), text.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(text.size()));
+  REQUIRE(send(quiet[0], "one\r\n", 5, MSG_NOSIGNAL) == 5);
+  // The lines that precede the end of the connection are not lost.
+  close(busy[0]);
+  auto check = loop.runEvery(1ms, [&] {
+    if (ended)
+      loop.stop();
+  });
+  auto limit = loop.runAfter(5s, [&] { loop.stop(); });
+  loop.run();
+  close(quiet[0]);
+  CHECK(linesBeforeOther >= 0);
+  CHECK(linesBeforeOther <= 64);
+  REQUIRE(received.size() == Lines);
+  for (int n = 0; n < Lines; ++n)
+    CHECK(received[static_cast<std::size_t>(n)] == std::to_string(n));
+}
+
+TEST_CASE("a listener accepts a bounded number of connections at once") {
+  kernel::EventLoop loop;
+  constexpr int Clients = 100;
+  int accepted = 0;
+  int largestBatch = 0;
+  int batch = 0;
+  Listener listener(loop);
+  std::uint16_t port = 0;
+  for (port = 20600; port < 20700; ++port) {
+    bool listening = base::handleFailure(
+        [&]() -> base::Result<bool> {
+          BOOST_LEAF_CHECK(listener.listen({"127.0.0.1", port}, [&](int fd) {
+            ++accepted;
+            if (++batch == 1)
+              loop.post([&batch] { batch = 0; });
+            largestBatch = std::max(largestBatch, batch);
+            close(fd);
+          }));
+          return true;
+        },
+        [](const base::Failure &) { return false; });
+    if (listening)
+      break;
+  }
+  std::vector<int> clients;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  for (int n = 0; n < Clients; ++n) {
+    clients.push_back(socket(AF_INET, SOCK_STREAM, 0));
+    REQUIRE(connect(clients.back(), reinterpret_cast<sockaddr *>(&address),
+                    sizeof address) == 0);
+  }
+  auto check = loop.runEvery(1ms, [&] {
+    if (accepted == Clients)
+      loop.stop();
+  });
+  auto limit = loop.runAfter(5s, [&] { loop.stop(); });
+  loop.run();
+  for (int it : clients)
+    close(it);
+  CHECK(accepted == Clients);
+  CHECK(largestBatch <= 32);
+}
+
 } // namespace
 } // namespace baobabpin::net
