Predict whether a replica has the position that a read needs

A read asked a replica that had refused another read for lack of a log position again after 150 ms, on each node, although the replica lagged for ten seconds. The reply that refuses a read carries the replica's position. With the history of the primary it gives the replica's lag, and so when the replica will have a position. A read is no longer sent to a replica that has refused a read within the last 6 s and is expected to lag. Because the prediction can be too high, single trial reads are sent after 100 ms, doubling to 800 ms, and at once when another reply shows that the lag has fallen.

Weighed: the replica's own speed of applying instead of its lag. It is measured between two reports only and is wrong when the primary's rate changes.

A replica that has refused nothing is chosen as before.

--- a/baobabpin/cluster/PlacementTest.cpp
+++ b/baobabpin/cluster/PlacementTest.cpp
@@ -50,6 +50,15 @@
     lagging.CoversPosition = true;
     CHECK(chooseReadServer({lagging, far}) == 0u);
   }
+  SUBCASE("a server that is expected to lag is not chosen") {
+    ReadCandidate lagging = replica();
+    lagging.CoversPosition = false;
+    lagging.Lags = true;
+    ReadCandidate primary = replica();
+    primary.Primary = true;
+    CHECK(chooseReadServer({lagging, primary}) == 1u);
+    CHECK_FALSE(chooseReadServer({lagging}).has_value());
+  }
   SUBCASE("no server is chosen when none is reachable") {
     ReadCandidate dead = replica();
     dead.Unreachable = true;
--- a/baobabpin/cluster/ReplicaChoice.cpp
+++ b/baobabpin/cluster/ReplicaChoice.cpp
@@ -23,7 +23,7 @@
   std::optional<std::size_t> best;
   std::chrono::nanoseconds bestCost{0};
   for (std::size_t n = 0; n < candidates.size(); ++n) {
-    if (candidates[n].Unreachable)
+    if (candidates[n].Unreachable || candidates[n].Lags)
       continue;
     auto cost = costOf(candidates[n]);
     if (best && bestCost <= cost)
--- a/baobabpin/cluster/ReplicaChoice.h
+++ b/baobabpin/cluster/ReplicaChoice.h
@@ -19,6 +19,8 @@
   bool Unreachable = false;
   /// The log of the server is known to include the required position.
   bool CoversPosition = false;
+  /// The server is expected to lack the required position. It is not chosen.
+  bool Lags = false;
   /// The time since the server last lacked a required position.
   std::chrono::nanoseconds SinceLagging{0};
   /// The moving average of the time until a reply.
@@ -41,7 +43,7 @@
 inline constexpr std::chrono::milliseconds RecentLagPeriod{150};
 
 /// Returns the index of the candidate with the lowest cost, or nothing when
-/// none is reachable.
+/// none is reachable and expected to have the position.
 std::optional<std::size_t>
 chooseReadServer(const std::vector<ReadCandidate> &candidates);
 
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -66,6 +66,7 @@
   std::erase_if(Pools, [&](auto &entry) {
     if (Cluster.servers().contains(entry.first))
       return false;
+    Progress.erase(entry.first);
     entry.second->shutDown();
     Retiring.push_back(entry.second);
     return true;
@@ -156,13 +157,13 @@
   return it == Pools.end() ? nullptr : it->second;
 }
 
-PoolPtr
-GroupProxy::chooseForRead(base::LogPosition wanted,
-                          const std::set<base::ServerId> &excluded) const {
+PoolPtr GroupProxy::chooseForRead(base::LogPosition wanted,
+                                  const std::set<base::ServerId> &excluded) {
   auto now = base::BootClock::now();
   auto record = Cluster.view().Groups.find(Name);
   std::vector<PoolPtr> pools;
   std::vector<cluster::ReadCandidate> candidates;
+  std::vector<bool> isTrial;
   for (const auto &[id, pool] : Pools) {
     const auto &condition = pool->condition();
     if (excluded.contains(id) || condition.WrongIdentity || isLeaving(id))
@@ -174,6 +175,12 @@
     it.Unreachable = condition.Unreachable && pool->openCount() == 0;
     it.CoversPosition = condition.Applied >= wanted;
     it.SinceLagging = now - condition.LastLagging;
+    const auto &progress = Progress[id];
+    bool behind = !it.Primary && !it.CoversPosition &&
+                  cluster::expectedDelay(progress, History, wanted, now) >
+                      std::chrono::nanoseconds(0);
+    it.Lags = behind && !cluster::isTrialDue(progress, now);
+    isTrial.push_back(behind);
     it.Latency = condition.Latency;
     it.Load = pool->load();
     it.Connections = pool->openCount();
@@ -181,13 +188,21 @@
     candidates.push_back(it);
   }
   auto best = cluster::chooseReadServer(candidates);
-  return best ? pools[*best] : nullptr;
+  if (!best)
+    return nullptr;
+  if (isTrial[*best])
+    cluster::claimTrial(Progress[pools[*best]->server().Id], now);
+  return pools[*best];
 }
 
 void GroupProxy::recordReply(pooling::ServerPool &pool, base::BootTime sentAt,
                              const sql::Reply &reply,
                              std::optional<std::uint64_t> epoch) {
   pool.recordReply(sentAt, reply);
+  if (!epoch && !reply.Lost && reply.Position)
+    cluster::recordReport(Progress[pool.server().Id], History, *reply.Position,
+                          reply.Error == sql::ErrorCode::Lagging, sentAt,
+                          base::BootClock::now());
   if (!epoch || reply.Lost || !reply.Position)
     return;
   auto choice = primary();
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -6,6 +6,7 @@
 #include "baobabpin/admission/RetryBudget.h"
 #include "baobabpin/cluster/MoveDecision.h"
 #include "baobabpin/cluster/PositionHistory.h"
+#include "baobabpin/cluster/ReplicaLag.h"
 #include "baobabpin/control/ClusterService.h"
 #include "baobabpin/frontend/OwnerChannels.h"
 #include "baobabpin/pooling/ServerPool.h"
@@ -62,7 +63,7 @@
   /// The best server, outside of \p excluded, for a read that needs the log
   /// position \p wanted, or null.
   PoolPtr chooseForRead(base::LogPosition wanted,
-                        const std::set<base::ServerId> &excluded) const;
+                        const std::set<base::ServerId> &excluded);
 
   /// The channel to the node that owns the server's connections, or null when
   /// this node connects to the server directly.
@@ -147,6 +148,7 @@
   /// connections in use have been released.
   std::list<PoolPtr> Retiring;
   cluster::PositionHistory History;
+  std::map<base::ServerId, cluster::ReplicaProgress> Progress;
   std::list<std::weak_ptr<std::function<void()>>> WaitingForPrimary;
   admission::RetryBudget SlowReadBudget{
       .PerRequest = 0.1, .Burst = SlowReadBurst, .Tokens = SlowReadBurst};
