Let a read wait when every server has refused it

Each refusal excluded its server for the rest of the statement, so a read that two lagging replicas and an overloaded primary refused within milliseconds ended with most of its time left. The read waits until a server is ready and asks the one with the least expected time to completion. It ends at once when no server is in reach, or none is expected to be ready before its deadline. Only attempts that may have run count for MaxAttempts.

Weighed: a pause that grows with the refusals of each server on its own. The number of attempts would grow with the number of servers; not measured.

--- a/baobabpin/cluster/PlacementTest.cpp
+++ b/baobabpin/cluster/PlacementTest.cpp
@@ -18,7 +18,15 @@
   return it;
 }
 
-TEST_CASE("chooseReadServer() chooses the server of a read") {
+/// The index of the server that a read is sent to.
+std::optional<std::size_t>
+chooseReadServer(const std::vector<ReadCandidate> &candidates) {
+  ReadPlan plan = planRead(candidates, 1s);
+  return plan.Step == ReadStep::Send ? std::optional(plan.Server)
+                                     : std::nullopt;
+}
+
+TEST_CASE("planRead() chooses the server of a read") {
   SUBCASE("a server in the node's own zone wins when all else is equal") {
     ReadCandidate other = replica();
     other.SameZone = false;
@@ -53,7 +61,7 @@
   SUBCASE("a server that is expected to lag is not chosen") {
     ReadCandidate lagging = replica();
     lagging.CoversPosition = false;
-    lagging.Lags = true;
+    lagging.ReadyIn = 500ms;
     ReadCandidate primary = replica();
     primary.Primary = true;
     CHECK(chooseReadServer({lagging, primary}) == 1u);
@@ -66,6 +74,26 @@
   }
 }
 
+TEST_CASE("planRead() waits for a server while there is time") {
+  // Guards against a read that fails with 1.5 s left after each server has
+  // refused it once, and against one that waits in vain.
+  ReadCandidate lagging = replica();
+  lagging.ReadyIn = 300ms;
+  ReadCandidate refused = replica();
+  refused.ReadyIn = 25ms;
+  ReadCandidate dead = replica();
+  dead.Unreachable = true;
+  auto plan = planRead({lagging, refused, dead}, 1500ms);
+  CHECK(plan.Step == ReadStep::Wait);
+  CHECK(plan.Delay == 25ms);
+  plan = planRead({lagging}, 1500ms);
+  CHECK(plan.Step == ReadStep::Wait);
+  CHECK(plan.Delay == ReplanInterval);
+  CHECK(planRead({lagging}, 300ms).Step == ReadStep::NotInTime);
+  CHECK(planRead({dead}, 1500ms).Step == ReadStep::NoneInReach);
+  CHECK(planRead({}, 1500ms).Step == ReadStep::NoneInReach);
+}
+
 TEST_CASE("the owner of a server's connections") {
   ServerRegistration server{.Id = "s1", .Group = "g", .Zone = "b"};
   std::vector<NodePlacement> nodes{{"n1", "a"}, {"n2", "b"}, {"n3", "b"}};
--- a/baobabpin/cluster/ReplicaChoice.cpp
+++ b/baobabpin/cluster/ReplicaChoice.cpp
@@ -1,5 +1,8 @@
 #include "baobabpin/cluster/ReplicaChoice.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace baobabpin::cluster {
 namespace {
 
@@ -18,20 +21,31 @@
 
 } // namespace
 
-std::optional<std::size_t>
-chooseReadServer(const std::vector<ReadCandidate> &candidates) {
-  std::optional<std::size_t> best;
-  std::chrono::nanoseconds bestCost{0};
+ReadPlan planRead(const std::vector<ReadCandidate> &candidates,
+                  std::chrono::nanoseconds timeLeft) {
+  ReadPlan plan;
+  std::optional<std::chrono::nanoseconds> bestCost;
+  std::optional<std::chrono::nanoseconds> earliest;
   for (std::size_t n = 0; n < candidates.size(); ++n) {
-    if (candidates[n].Unreachable || candidates[n].Lags)
+    const ReadCandidate &it = candidates[n];
+    if (it.Unreachable)
+      continue;
+    if (it.ReadyIn > std::chrono::nanoseconds(0)) {
+      earliest = std::min(earliest.value_or(it.ReadyIn), it.ReadyIn);
       continue;
-    auto cost = costOf(candidates[n]);
-    if (best && bestCost <= cost)
+    }
+    auto cost = costOf(it);
+    if (bestCost && *bestCost <= cost)
       continue;
-    best = n;
+    plan.Step = ReadStep::Send;
+    plan.Server = n;
     bestCost = cost;
   }
-  return best;
+  if (bestCost || !earliest)
+    return plan;
+  plan.Step = *earliest < timeLeft ? ReadStep::Wait : ReadStep::NotInTime;
+  plan.Delay = std::min<std::chrono::nanoseconds>(*earliest, ReplanInterval);
+  return plan;
 }
 
 } // namespace baobabpin::cluster
--- a/baobabpin/cluster/ReplicaChoice.h
+++ b/baobabpin/cluster/ReplicaChoice.h
@@ -19,8 +19,9 @@
   bool Unreachable = false;
   /// The log of the server is known to include the required position.
   bool CoversPosition = false;
-  /// The server is expected to lack the required position. It is not chosen.
-  bool Lags = false;
+  /// The time until the server may be asked and is expected to have the
+  /// required position. A server that has to be waited for is not chosen.
+  std::chrono::nanoseconds ReadyIn{0};
   /// The time since the server last lacked a required position.
   std::chrono::nanoseconds SinceLagging{0};
   /// The moving average of the time until a reply.
@@ -42,9 +43,33 @@
 inline constexpr std::chrono::milliseconds LaggingCost{200};
 inline constexpr std::chrono::milliseconds RecentLagPeriod{150};
 
-/// Returns the index of the candidate with the lowest cost, or nothing when
-/// none is reachable and expected to have the position.
-std::optional<std::size_t>
-chooseReadServer(const std::vector<ReadCandidate> &candidates);
+/// How often a read that waits for a server is planned again, because the
+/// server may become ready earlier than expected. Planning sends no message.
+inline constexpr std::chrono::milliseconds ReplanInterval{100};
+
+enum class ReadStep {
+  Send,        ///< Send the read to a server.
+  Wait,        ///< Plan again after a delay.
+  NotInTime,   ///< No reachable server is expected to be ready in time.
+  NoneInReach, ///< No server can be reached.
+};
+
+struct ReadPlan {
+  ReadStep Step = ReadStep::NoneInReach;
+  /// The index of the server, for Send.
+  std::size_t Server = 0;
+  /// For Wait.
+  std::chrono::nanoseconds Delay{0};
+};
+
+/// Plans the next step of a read that has \p timeLeft. Of the servers that are
+/// ready, the one with the lowest cost, which is the expected time to
+/// completion, is chosen.
+///
+/// Load pattern: two replicas of a group lag for seconds and its primary is
+/// overloaded, so that each of them refuses the read once. The read waits until
+/// one of them is ready, and does not fail while it has time.
+ReadPlan planRead(const std::vector<ReadCandidate> &candidates,
+                  std::chrono::nanoseconds timeLeft);
 
 } // namespace baobabpin::cluster
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -1,7 +1,6 @@
 #include "baobabpin/frontend/GroupProxy.h"
 
 #include "baobabpin/cluster/OrganisationShares.h"
-#include "baobabpin/cluster/ReplicaChoice.h"
 #include "platform/Wire.h"
 
 #include <algorithm>
@@ -157,8 +156,9 @@
   return it == Pools.end() ? nullptr : it->second;
 }
 
-PoolPtr GroupProxy::chooseForRead(base::LogPosition wanted,
-                                  const std::set<base::ServerId> &excluded) {
+ReadChoice GroupProxy::planRead(base::LogPosition wanted,
+                                const admission::Exclusions &exclusions,
+                                std::chrono::nanoseconds timeLeft) {
   auto now = base::BootClock::now();
   auto record = Cluster.view().Groups.find(Name);
   std::vector<PoolPtr> pools;
@@ -166,33 +166,39 @@
   std::vector<bool> isTrial;
   for (const auto &[id, pool] : Pools) {
     const auto &condition = pool->condition();
-    if (excluded.contains(id) || condition.WrongIdentity || isLeaving(id))
+    if (condition.WrongIdentity || isLeaving(id))
       continue;
     cluster::ReadCandidate it;
     it.SameZone = pool->server().Zone == Zone;
     it.Primary = record != Cluster.view().Groups.end() &&
                  record->second.Value.Primary == id;
-    it.Unreachable = condition.Unreachable && pool->openCount() == 0;
+    it.Unreachable = (condition.Unreachable && pool->openCount() == 0) ||
+                     admission::isOutOfReach(exclusions, id, now);
     it.CoversPosition = condition.Applied >= wanted;
     it.SinceLagging = now - condition.LastLagging;
+    it.ReadyIn = admission::excludedFor(exclusions, id, now);
     const auto &progress = Progress[id];
-    bool behind = !it.Primary && !it.CoversPosition &&
-                  cluster::expectedDelay(progress, History, wanted, now) >
-                      std::chrono::nanoseconds(0);
-    it.Lags = behind && !cluster::isTrialDue(progress, now);
-    isTrial.push_back(behind);
+    std::chrono::nanoseconds lagDelay{0};
+    if (!it.Primary && !it.CoversPosition)
+      lagDelay = cluster::expectedDelay(progress, History, wanted, now);
+    bool behind = lagDelay > std::chrono::nanoseconds(0);
+    if (behind && !cluster::isTrialDue(progress, now))
+      it.ReadyIn = std::max(it.ReadyIn, lagDelay);
     it.Latency = condition.Latency;
     it.Load = pool->load();
     it.Connections = pool->openCount();
     pools.push_back(pool);
     candidates.push_back(it);
+    isTrial.push_back(behind);
   }
-  auto best = cluster::chooseReadServer(candidates);
-  if (!best)
-    return nullptr;
-  if (isTrial[*best])
-    cluster::claimTrial(Progress[pools[*best]->server().Id], now);
-  return pools[*best];
+  auto plan = cluster::planRead(candidates, timeLeft);
+  ReadChoice choice{plan.Step, nullptr, plan.Delay};
+  if (plan.Step != cluster::ReadStep::Send)
+    return choice;
+  choice.Pool = pools[plan.Server];
+  if (isTrial[plan.Server])
+    cluster::claimTrial(Progress[choice.Pool->server().Id], now);
+  return choice;
 }
 
 void GroupProxy::recordReply(pooling::ServerPool &pool, base::BootTime sentAt,
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -3,9 +3,11 @@
 /// statements that wait for a primary.
 #pragma once
 
+#include "baobabpin/admission/Exclusions.h"
 #include "baobabpin/admission/RetryBudget.h"
 #include "baobabpin/cluster/MoveDecision.h"
 #include "baobabpin/cluster/PositionHistory.h"
+#include "baobabpin/cluster/ReplicaChoice.h"
 #include "baobabpin/cluster/ReplicaLag.h"
 #include "baobabpin/control/ClusterService.h"
 #include "baobabpin/frontend/OwnerChannels.h"
@@ -16,7 +18,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace baobabpin::frontend {
@@ -30,6 +31,13 @@
   std::uint64_t Epoch = 0;
 };
 
+/// The next step of a read, and the server to send it to.
+struct ReadChoice {
+  cluster::ReadStep Step = cluster::ReadStep::NoneInReach;
+  PoolPtr Pool;
+  std::chrono::nanoseconds Delay{0};
+};
+
 /// The burst of the retry budget for reads without a timely reply. It is small
 /// because all nodes detect a slow group at about the same time and would all
 /// retry at once.
@@ -60,10 +68,11 @@
   }
   /// The pool of a server, or null.
   PoolPtr pool(const base::ServerId &id) const;
-  /// The best server, outside of \p excluded, for a read that needs the log
-  /// position \p wanted, or null.
-  PoolPtr chooseForRead(base::LogPosition wanted,
-                        const std::set<base::ServerId> &excluded);
+  /// Plans the next step of a read that needs the log position \p wanted.
+  /// Servers in \p exclusions are not asked until their exclusion ends.
+  ReadChoice planRead(base::LogPosition wanted,
+                      const admission::Exclusions &exclusions,
+                      std::chrono::nanoseconds timeLeft);
 
   /// The channel to the node that owns the server's connections, or null when
   /// this node connects to the server directly.
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -11,7 +11,9 @@
 using sql::ErrorCode;
 using std::chrono::milliseconds;
 
-/// Maximum number of attempts of one statement, the first included. For a
+/// Maximum number of attempts of one statement, the first included. For a read
+/// that any server may run, only attempts that may have run count; refusals
+/// cost a server nothing, and the pauses after them limit their number. For a
 /// statement that needs the primary, the maximum applies only after an attempt
 /// that was refused; after other failures it is retried until its deadline.
 constexpr int MaxAttempts = 4;
@@ -45,6 +47,25 @@
   return prefix + std::to_string(base::hash64(it.Shape));
 }
 
+admission::Failure failureOf(ErrorCode code, RetryCause cause) {
+  switch (cause) {
+  case RetryCause::ConnectionLost:
+  case RetryCause::ReplyLost:
+  case RetryCause::SlowReply:
+    return admission::Failure::NoReply;
+  case RetryCause::NoOwner:
+  case RetryCause::ServerUnreachable:
+    return admission::Failure::Unreachable;
+  case RetryCause::ServerRefused:
+  case RetryCause::SetupRefused:
+  case RetryCause::OwnerRefused:
+  case RetryCause::Overloaded:
+    break;
+  }
+  return sql::promisesNoEffect(code) ? admission::Failure::Refused
+                                     : admission::Failure::NoReply;
+}
+
 } // namespace
 
 StatementRun::StatementRun(kernel::EventLoop &loop, kernel::LineLog &log,
@@ -178,41 +199,75 @@
                                          Request.Route.MaxStaleness,
                                      Request.OwnCommit, Request.OwnEpoch};
   WaitFor = cluster::requiredPosition(Group->history(), need);
-  PoolPtr pool = WaitFor ? Group->chooseForRead(*WaitFor, Excluded) : nullptr;
-  if (pool) {
-    Epoch = 0;
-    acquire(pool);
-    return;
-  }
   auto choice = Group->primary();
   if (!WaitFor && choice.Pool && !std::exchange(PositionAwaited, true)) {
     waitForPosition();
     return;
   }
-  if (choice.Pool && !Excluded.contains(choice.Pool->server().Id)) {
-    WaitFor.reset();
-    Epoch = choice.Epoch;
-    acquire(choice.Pool);
+  if (!WaitFor) {
+    readFromPrimary();
+    return;
+  }
+  auto plan =
+      Group->planRead(*WaitFor, Excluded, Deadline - base::BootClock::now());
+  switch (plan.Step) {
+  case cluster::ReadStep::Send:
+    Epoch = 0;
+    acquire(plan.Pool);
     return;
+  case cluster::ReadStep::Wait:
+    waitForServer(plan.Delay);
+    return;
+  case cluster::ReadStep::NoneInReach:
+    readFromPrimary();
+    return;
+  case cluster::ReadStep::NotInTime:
+    break;
   }
   if (!choice.Pool) {
     waitOrRefuse(choice.Use, ErrorCode::Lagging);
     return;
   }
-  // The statement fails at once, so that the client can retry it at a node in
-  // another availability zone, which may reach servers that this node cannot.
-  finish(ErrorCode::Lagging, "no_fresh_server");
+  finish(RefusedForLoad ? ErrorCode::TooManyConnections : ErrorCode::Lagging,
+         "no_fresh_server");
+}
+
+void StatementRun::readFromPrimary() {
+  auto choice = Group->primary();
+  if (!choice.Pool) {
+    waitOrRefuse(choice.Use, ErrorCode::Lagging);
+    return;
+  }
+  auto now = base::BootClock::now();
+  const auto &id = choice.Pool->server().Id;
+  if (admission::isOutOfReach(Excluded, id, now)) {
+    // The statement fails at once, so that the client can retry it at a node in
+    // another availability zone, which may reach servers that this node cannot.
+    finish(ErrorCode::Lagging, "no_server_in_reach");
+    return;
+  }
+  auto pause = admission::excludedFor(Excluded, id, now);
+  if (pause > std::chrono::nanoseconds(0)) {
+    waitForServer(pause);
+    return;
+  }
+  WaitFor.reset();
+  Epoch = choice.Epoch;
+  acquire(choice.Pool);
 }
 
-void StatementRun::waitForPosition() {
+void StatementRun::waitForServer(std::chrono::nanoseconds delay) {
   auto again = [weak = weak_from_this()] {
     if (auto self = weak.lock())
       self->chooseServer();
   };
-  Resume = Group->waitForPrimary(again);
-  RetryTimer = Loop.runAfter(PositionWaitLimit, again);
+  if (!WaitFor || !Group->primary().Pool)
+    Resume = Group->waitForPrimary(again);
+  RetryTimer = Loop.runAfter(delay, again);
 }
 
+void StatementRun::waitForPosition() { waitForServer(PositionWaitLimit); }
+
 void StatementRun::acquire(const PoolPtr &pool) {
   ++Attempts;
   Pool = pool;
@@ -456,12 +511,19 @@
 }
 
 void StatementRun::onSlowReply() {
-  if ((!Connection && !RelayChannel) || Attempts >= MaxAttempts ||
+  if ((!Connection && !RelayChannel) || !mayRepeatUnanswered() ||
       !admission::tryRetry(Group->slowReadBudget()))
     return;
   retryOrFinish(ErrorCode::Busy, RetryCause::SlowReply);
 }
 
+bool StatementRun::mayRepeatUnanswered() const {
+  // A statement for the primary is only repeated at the primary, where its
+  // attempts are counted together.
+  int attempts = Request.NeedsPrimary ? Attempts : UnansweredAttempts + 1;
+  return attempts < MaxAttempts;
+}
+
 void StatementRun::onReply(const sql::Reply &reply) {
   SlowTimer.cancel();
   bool committed = std::exchange(Committing, false);
@@ -535,8 +597,6 @@
 void StatementRun::retryOrFinish(ErrorCode code, RetryCause cause) {
   SlowTimer.cancel();
   std::string server = Pool->server().Id;
-  if (!Request.NeedsPrimary)
-    Excluded.insert(server);
   releaseConnection();
   Log.line("statement_retry")
       .add("id", Request.Id)
@@ -544,23 +604,38 @@
       .add("reason", retryCauseName(cause))
       .add("try", Attempts);
   Sent = false;
+  if (Request.FixedServer) {
+    finish(code, retryCauseName(cause));
+    return;
+  }
+  if (Request.NeedsPrimary) {
+    retryPrimary(code, cause);
+    return;
+  }
+  auto failure = failureOf(code, cause);
+  admission::exclude(Excluded, server, failure, base::BootClock::now());
+  RefusedForLoad |= cause == RetryCause::Overloaded;
+  if (failure == admission::Failure::NoReply) {
+    ++UnansweredAttempts;
+    if (UnansweredAttempts >= MaxAttempts) {
+      finish(code, retryCauseName(cause));
+      return;
+    }
+  }
+  chooseServer();
+}
+
+void StatementRun::retryPrimary(ErrorCode code, RetryCause cause) {
   bool refused = cause == RetryCause::ServerRefused ||
                  cause == RetryCause::SetupRefused ||
                  cause == RetryCause::Overloaded;
-  bool unlimitedAttempts = Request.NeedsPrimary && !refused;
   // No other server may run the statement, and the primary cannot run it in
   // time.
-  bool primaryOverloaded =
-      Request.NeedsPrimary && cause == RetryCause::Overloaded;
-  if ((Attempts >= MaxAttempts && !unlimitedAttempts) || Request.FixedServer ||
-      primaryOverloaded) {
+  bool overloaded = cause == RetryCause::Overloaded;
+  if ((Attempts >= MaxAttempts && refused) || overloaded) {
     finish(code, retryCauseName(cause));
     return;
   }
-  if (!Request.NeedsPrimary) {
-    chooseServer();
-    return;
-  }
   auto delay = std::min(PrimaryRetryDelay * Attempts, PrimaryRetryDelayLimit);
   RetryTimer = Loop.runAfter(delay, [weak = weak_from_this()] {
     if (auto self = weak.lock())
@@ -569,10 +644,12 @@
 }
 
 void StatementRun::onDeadline() {
-  if (!Sent)
-    giveUp(Waiter ? "no_connection" : "no_primary");
-  else
+  if (Sent)
     giveUp("time_limit");
+  else if (Waiter)
+    giveUp("no_connection");
+  else
+    giveUp(Excluded.Servers.empty() ? "no_primary" : "no_server_in_time");
 }
 
 void StatementRun::giveUp(std::string_view reason) {
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -13,7 +13,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace baobabpin::frontend {
@@ -42,6 +41,12 @@
   void chooseServer();
   void runOnPrimary();
   void runOnReplica();
+  /// Runs a read on the primary, because no other server is known to be able to
+  /// run it.
+  void readFromPrimary();
+  /// Plans the read again after \p delay, or earlier when a primary becomes
+  /// usable.
+  void waitForServer(std::chrono::nanoseconds delay);
   void runOnFixedServer();
   /// Handles the absence of a usable primary: waits for one, or ends with
   /// \p code if this node cannot expect one soon.
@@ -65,6 +70,10 @@
   /// Returns the connection and retries the statement, or ends with \p code
   /// when another attempt is not allowed.
   void retryOrFinish(sql::ErrorCode code, RetryCause cause);
+  void retryPrimary(sql::ErrorCode code, RetryCause cause);
+  /// Whether the statement may be sent once more after attempts that may have
+  /// run.
+  bool mayRepeatUnanswered() const;
   void onDeadline();
   void onSlowReply();
   /// Cancels all timers and everything that would start another attempt.
@@ -103,8 +112,12 @@
   std::uint64_t Epoch = 0;
   /// The log position that the server must have applied to run the statement.
   std::optional<base::LogPosition> WaitFor;
-  std::set<base::ServerId> Excluded;
+  admission::Exclusions Excluded;
   int Attempts = 0;
+  /// Attempts that may have run and gave no usable reply.
+  int UnansweredAttempts = 0;
+  /// A server or an owner refused an attempt because of its load.
+  bool RefusedForLoad = false;
   bool Sent = false;
   bool PositionAwaited = false;
   bool Committing = false;
