Tell entry nodes the expected wait of an overloaded server

A node asked the owner of each server's connections for each statement, also while the owners refused all of them. A refusal for overload now carries the expected wait (wait_ms, omitted when 0). The entry node keeps it for each server and priority with a half-life of 100 ms, adds it to the cost of the server, and refuses a statement at once that the owner would refuse. A report counts for its own priority and lower ones, so higher priorities see a shorter wait.

The entry node uses the owner's rule, which refuses work whose wait exceeds half of its time left. Weighed: waiting until the wait exceeds all of the time left. At a steady overload the owner's wait stays near half of the time limit, so statements would be refused only after half of it.

--- /dev/null
+++ b/baobabpin/admission/WaitHints.cpp
@@ -0,0 +1,28 @@
+#include "baobabpin/admission/WaitHints.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace baobabpin::admission {
+
+void recordWait(WaitHints &hints, int priority, std::chrono::nanoseconds wait,
+                base::BootTime now) {
+  hints[priority] = {wait, now};
+}
+
+std::chrono::nanoseconds rememberedWait(const WaitHints &hints, int priority,
+                                        base::BootTime now) {
+  using Duration = std::chrono::duration<double, std::nano>;
+  std::chrono::nanoseconds longest{0};
+  for (const auto &[level, it] : hints) {
+    if (level > priority)
+      break;
+    double halvings = Duration(now - it.At) / Duration(HintHalfLife);
+    auto left = Duration(it.Wait) * std::exp2(-std::max(0.0, halvings));
+    longest = std::max(
+        longest, std::chrono::duration_cast<std::chrono::nanoseconds>(left));
+  }
+  return longest;
+}
+
+} // namespace baobabpin::admission
--- a/baobabpin/cluster/PlacementTest.cpp
+++ b/baobabpin/cluster/PlacementTest.cpp
@@ -67,6 +67,15 @@
     CHECK(chooseReadServer({lagging, primary}) == 1u);
     CHECK_FALSE(chooseReadServer({lagging}).has_value());
   }
+  SUBCASE("a server whose owner has a queue is avoided") {
+    ReadCandidate busy = replica();
+    busy.QueueWait = 60ms;
+    ReadCandidate primary = replica();
+    primary.Primary = true;
+    CHECK(chooseReadServer({busy, primary}) == 1u);
+    primary.QueueWait = 60ms;
+    CHECK(chooseReadServer({busy, primary}) == 0u);
+  }
   SUBCASE("no server is chosen when none is reachable") {
     ReadCandidate dead = replica();
     dead.Unreachable = true;
@@ -92,6 +101,12 @@
   CHECK(planRead({lagging}, 300ms).Step == ReadStep::NotInTime);
   CHECK(planRead({dead}, 1500ms).Step == ReadStep::NoneInReach);
   CHECK(planRead({}, 1500ms).Step == ReadStep::NoneInReach);
+  ReadCandidate overloaded = replica();
+  overloaded.Overloaded = true;
+  plan = planRead({overloaded, dead}, 1500ms);
+  CHECK(plan.Step == ReadStep::NotInTime);
+  CHECK(plan.Overloaded);
+  CHECK(planRead({overloaded, lagging}, 1500ms).Step == ReadStep::Wait);
 }
 
 TEST_CASE("the owner of a server's connections") {
--- a/baobabpin/cluster/ReadWaitTest.cpp
+++ b/baobabpin/cluster/ReadWaitTest.cpp
@@ -3,6 +3,7 @@
 
 #include "baobabpin/admission/Exclusions.h"
 #include "baobabpin/admission/QueueWait.h"
+#include "baobabpin/admission/WaitHints.h"
 #include "baobabpin/cluster/ReplicaChoice.h"
 #include "baobabpin/cluster/ReplicaLag.h"
 
@@ -58,6 +59,8 @@
   int EndedEarly = 0;
   int Attempts = 0;
   int MostAttempts = 0;
+  /// How long the reads that were not served took.
+  std::vector<nanoseconds> RefusedAfter;
 };
 
 /// A simulation of one entry node and the owners of three servers, of which the
@@ -109,6 +112,7 @@
     std::deque<Waiting> Queue;
     admission::GrantRate Grants;
     ReplicaProgress Progress;
+    admission::WaitHints Waits;
     int Load = 0;
     base::BootTime LaggingAt{};
   };
@@ -130,6 +134,8 @@
     Result.Ended += served ? 0 : 1;
     Result.EndedEarly += !served && read->Deadline - Now > 1s ? 1 : 0;
     Result.Attempts += read->Attempts;
+    if (!served)
+      Result.RefusedAfter.push_back(Now - read->Arrived);
     Result.MostAttempts = std::max(Result.MostAttempts, read->Attempts);
   }
 
@@ -174,6 +180,8 @@
       it.Unreachable = read.Excluded.Servers.contains(server.Name);
       return it;
     }
+    it.QueueWait = admission::rememberedWait(server.Waits, 0, Now);
+    it.Overloaded = admission::shouldRefuse(it.QueueWait, read.Deadline - Now);
     it.ReadyIn = admission::excludedFor(read.Excluded, server.Name, Now);
     if (!it.Primary && !it.CoversPosition && !isTrialDue(server.Progress, Now))
       it.ReadyIn = std::max(
@@ -186,17 +194,16 @@
     ++server.Load;
     auto sentAt = Now;
     schedule(Now + OneWay, [this, read, &server, wanted, sentAt] {
-      if (admission::shouldRefuse(
-              admission::expectedWait(server.Grants, server.Queue.size()),
-              read->Deadline - Now) &&
-          !server.Queue.empty()) {
-        refuse(read, server, false, sentAt);
+      auto wait = admission::expectedWait(server.Grants, server.Queue.size());
+      if (!server.Queue.empty() &&
+          admission::shouldRefuse(wait, read->Deadline - Now)) {
+        refuse(read, server, wait, sentAt);
         return;
       }
       server.Queue.push_back(
           {read->Deadline, [this, read, &server, wanted, sentAt] {
              if (appliedBy(server) < wanted)
-               refuse(read, server, true, sentAt);
+               refuse(read, server, std::nullopt, sentAt);
              else
                serve(read, server, sentAt);
            }});
@@ -211,14 +218,17 @@
     return positionAt(stalled ? Start + Rules.StallFrom : Now - 10ms);
   }
 
-  void refuse(const ReadPtr &read, Server &server, bool lagging,
-              base::BootTime sentAt) {
+  /// Refuses a read because of \p wait, or because the server lags.
+  void refuse(const ReadPtr &read, Server &server,
+              std::optional<nanoseconds> wait, base::BootTime sentAt) {
     auto applied = appliedBy(server);
-    schedule(Now + OneWay, [this, read, &server, lagging, sentAt, applied] {
+    schedule(Now + OneWay, [this, read, &server, wait, sentAt, applied] {
       --server.Load;
       admission::exclude(read->Excluded, server.Name,
                          admission::Failure::Refused, Now);
-      if (lagging) {
+      if (wait) {
+        admission::recordWait(server.Waits, 0, *wait, Now);
+      } else {
         recordReport(server.Progress, History, applied, true, sentAt, Now);
         server.LaggingAt = Now;
       }
@@ -273,8 +283,13 @@
 
 TEST_CASE("waiting does not multiply the load at twice the capacity") {
   Outcome it = Simulation({.Rate = 2 * Capacity}).run();
-  CHECK(it.Attempts < 8 * it.Reads);
-  CHECK(it.MostAttempts <= 16);
+  CHECK(it.Attempts < 2 * it.Reads);
+  CHECK(it.MostAttempts <= 8);
+  // All reads that are not served are refused at once.
+  std::ranges::sort(it.RefusedAfter);
+  REQUIRE(!it.RefusedAfter.empty());
+  CHECK(it.RefusedAfter[it.RefusedAfter.size() / 2] < 10ms);
+  CHECK(it.Served > 0.95 * Capacity * 4);
 }
 
 TEST_CASE("a load within the capacity is served without a refusal") {
--- a/baobabpin/cluster/ReplicaChoice.cpp
+++ b/baobabpin/cluster/ReplicaChoice.cpp
@@ -10,6 +10,7 @@
   auto connections = it.Connections > 0 ? it.Connections : 1;
   std::chrono::nanoseconds cost =
       it.Latency + it.Latency * it.Load / connections;
+  cost += it.QueueWait;
   if (!it.SameZone)
     cost += OtherZoneCost;
   if (it.Primary)
@@ -26,10 +27,16 @@
   ReadPlan plan;
   std::optional<std::chrono::nanoseconds> bestCost;
   std::optional<std::chrono::nanoseconds> earliest;
+  bool reachable = false;
   for (std::size_t n = 0; n < candidates.size(); ++n) {
     const ReadCandidate &it = candidates[n];
     if (it.Unreachable)
       continue;
+    reachable = true;
+    if (it.Overloaded) {
+      plan.Overloaded = true;
+      continue;
+    }
     if (it.ReadyIn > std::chrono::nanoseconds(0)) {
       earliest = std::min(earliest.value_or(it.ReadyIn), it.ReadyIn);
       continue;
@@ -41,9 +48,13 @@
     plan.Server = n;
     bestCost = cost;
   }
-  if (bestCost || !earliest)
+  if (bestCost || !reachable)
     return plan;
-  plan.Step = *earliest < timeLeft ? ReadStep::Wait : ReadStep::NotInTime;
+  if (!earliest || *earliest >= timeLeft) {
+    plan.Step = ReadStep::NotInTime;
+    return plan;
+  }
+  plan.Step = ReadStep::Wait;
   plan.Delay = std::min<std::chrono::nanoseconds>(*earliest, ReplanInterval);
   return plan;
 }
--- a/baobabpin/cluster/ReplicaChoice.h
+++ b/baobabpin/cluster/ReplicaChoice.h
@@ -22,6 +22,10 @@
   /// The time until the server may be asked and is expected to have the
   /// required position. A server that has to be waited for is not chosen.
   std::chrono::nanoseconds ReadyIn{0};
+  /// The expected wait in the queue of the owner of its connections.
+  std::chrono::nanoseconds QueueWait{0};
+  /// The owner would refuse the read because of QueueWait.
+  bool Overloaded = false;
   /// The time since the server last lacked a required position.
   std::chrono::nanoseconds SinceLagging{0};
   /// The moving average of the time until a reply.
@@ -60,6 +64,8 @@
   std::size_t Server = 0;
   /// For Wait.
   std::chrono::nanoseconds Delay{0};
+  /// A server was not considered because it is overloaded.
+  bool Overloaded = false;
 };
 
 /// Plans the next step of a read that has \p timeLeft. Of the servers that are
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -66,6 +66,7 @@
     if (Cluster.servers().contains(entry.first))
       return false;
     Progress.erase(entry.first);
+    Waits.erase(entry.first);
     entry.second->shutDown();
     Retiring.push_back(entry.second);
     return true;
@@ -158,6 +159,7 @@
 
 ReadChoice GroupProxy::planRead(base::LogPosition wanted,
                                 const admission::Exclusions &exclusions,
+                                int priority,
                                 std::chrono::nanoseconds timeLeft) {
   auto now = base::BootClock::now();
   auto record = Cluster.view().Groups.find(Name);
@@ -185,6 +187,9 @@
     if (behind && !cluster::isTrialDue(progress, now))
       it.ReadyIn = std::max(it.ReadyIn, lagDelay);
     it.Latency = condition.Latency;
+    it.QueueWait = admission::rememberedWait(Waits[id], priority, now);
+    it.Overloaded = it.QueueWait > std::chrono::nanoseconds(0) &&
+                    admission::shouldRefuse(it.QueueWait, timeLeft);
     it.Load = pool->load();
     it.Connections = pool->openCount();
     pools.push_back(pool);
@@ -192,7 +197,7 @@
     isTrial.push_back(behind);
   }
   auto plan = cluster::planRead(candidates, timeLeft);
-  ReadChoice choice{plan.Step, nullptr, plan.Delay};
+  ReadChoice choice{plan.Step, nullptr, plan.Delay, plan.Overloaded};
   if (plan.Step != cluster::ReadStep::Send)
     return choice;
   choice.Pool = pools[plan.Server];
@@ -201,6 +206,23 @@
   return choice;
 }
 
+void GroupProxy::recordWait(const pooling::ServerPool &pool, int priority,
+                            std::chrono::nanoseconds wait) {
+  admission::recordWait(Waits[pool.server().Id], priority, wait,
+                        base::BootClock::now());
+}
+
+bool GroupProxy::isOverloaded(const pooling::ServerPool &pool, int priority,
+                              std::chrono::nanoseconds timeLeft) const {
+  auto it = Waits.find(pool.server().Id);
+  if (it == Waits.end())
+    return false;
+  auto wait =
+      admission::rememberedWait(it->second, priority, base::BootClock::now());
+  return wait > std::chrono::nanoseconds(0) &&
+         admission::shouldRefuse(wait, timeLeft);
+}
+
 void GroupProxy::recordReply(pooling::ServerPool &pool, base::BootTime sentAt,
                              const sql::Reply &reply,
                              std::optional<std::uint64_t> epoch) {
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -5,6 +5,7 @@
 
 #include "baobabpin/admission/Exclusions.h"
 #include "baobabpin/admission/RetryBudget.h"
+#include "baobabpin/admission/WaitHints.h"
 #include "baobabpin/cluster/MoveDecision.h"
 #include "baobabpin/cluster/PositionHistory.h"
 #include "baobabpin/cluster/ReplicaChoice.h"
@@ -36,6 +37,8 @@
   cluster::ReadStep Step = cluster::ReadStep::NoneInReach;
   PoolPtr Pool;
   std::chrono::nanoseconds Delay{0};
+  /// A server was not considered because it is overloaded.
+  bool Overloaded = false;
 };
 
 /// The burst of the retry budget for reads without a timely reply. It is small
@@ -71,8 +74,16 @@
   /// Plans the next step of a read that needs the log position \p wanted.
   /// Servers in \p exclusions are not asked until their exclusion ends.
   ReadChoice planRead(base::LogPosition wanted,
-                      const admission::Exclusions &exclusions,
+                      const admission::Exclusions &exclusions, int priority,
                       std::chrono::nanoseconds timeLeft);
+  /// Records the wait that the owner of a server's connections reported when it
+  /// refused a statement of this priority.
+  void recordWait(const pooling::ServerPool &pool, int priority,
+                  std::chrono::nanoseconds wait);
+  /// Whether the owner of the server's connections is expected to refuse a
+  /// statement because of its load.
+  bool isOverloaded(const pooling::ServerPool &pool, int priority,
+                    std::chrono::nanoseconds timeLeft) const;
 
   /// The channel to the node that owns the server's connections, or null when
   /// this node connects to the server directly.
@@ -158,6 +169,7 @@
   std::list<PoolPtr> Retiring;
   cluster::PositionHistory History;
   std::map<base::ServerId, cluster::ReplicaProgress> Progress;
+  std::map<base::ServerId, admission::WaitHints> Waits;
   std::list<std::weak_ptr<std::function<void()>>> WaitingForPrimary;
   admission::RetryBudget SlowReadBudget{
       .PerRequest = 0.1, .Burst = SlowReadBurst, .Tokens = SlowReadBurst};
--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -171,6 +171,8 @@
     relay::Reply reply;
     reply.Result = std::move(result.Reply);
     reply.RefusedByOwner = reply.Result.Error && !result.FromServer;
+    if (reply.RefusedByOwner)
+      reply.ExpectedWait = std::chrono::ceil<milliseconds>(result.ExpectedWait);
     reply.Transaction = result.Pinned.Connection ? transactionId : 0;
     reply.Epoch = result.Pinned.Epoch;
     reply.OnPrimary = result.Pinned.OnPrimary;
--- a/baobabpin/frontend/RunTypes.h
+++ b/baobabpin/frontend/RunTypes.h
@@ -75,6 +75,8 @@
   /// For a reply with an error: the error came from a server and not from a
   /// node of the proxy. Not set for a successful reply through an owner.
   bool FromServer = false;
+  /// For a refusal because of the load of the server: the expected wait.
+  std::chrono::nanoseconds ExpectedWait{0};
 };
 
 /// Why a statement is tried again, at the same server or another one.
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -171,6 +171,8 @@
   WaitFor.reset();
   switch (choice.Use) {
   case cluster::PrimaryUse::Allowed:
+    if (endIfOverloaded(choice.Pool))
+      return;
     Epoch = choice.Epoch;
     acquire(choice.Pool);
     return;
@@ -179,6 +181,14 @@
   }
 }
 
+bool StatementRun::endIfOverloaded(const PoolPtr &pool) {
+  if (!Group->isOverloaded(*pool, Request.Route.Priority,
+                           Deadline - base::BootClock::now()))
+    return false;
+  finish(ErrorCode::TooManyConnections, retryCauseName(RetryCause::Overloaded));
+  return true;
+}
+
 void StatementRun::waitOrRefuse(cluster::PrimaryUse use, ErrorCode code) {
   // A node with an expired lease cannot tell when it will be able to renew the
   // lease. Other nodes may be able to serve the statement.
@@ -208,8 +218,8 @@
     readFromPrimary();
     return;
   }
-  auto plan =
-      Group->planRead(*WaitFor, Excluded, Deadline - base::BootClock::now());
+  auto plan = Group->planRead(*WaitFor, Excluded, Request.Route.Priority,
+                              Deadline - base::BootClock::now());
   switch (plan.Step) {
   case cluster::ReadStep::Send:
     Epoch = 0;
@@ -228,8 +238,11 @@
     waitOrRefuse(choice.Use, ErrorCode::Lagging);
     return;
   }
-  finish(RefusedForLoad ? ErrorCode::TooManyConnections : ErrorCode::Lagging,
-         "no_fresh_server");
+  if (RefusedForLoad || plan.Overloaded)
+    finish(ErrorCode::TooManyConnections,
+           retryCauseName(RetryCause::Overloaded));
+  else
+    finish(ErrorCode::Lagging, "no_fresh_server");
 }
 
 void StatementRun::readFromPrimary() {
@@ -251,6 +264,8 @@
     waitForServer(pause);
     return;
   }
+  if (endIfOverloaded(choice.Pool))
+    return;
   WaitFor.reset();
   Epoch = choice.Epoch;
   acquire(choice.Pool);
@@ -303,8 +318,14 @@
 }
 
 void StatementRun::onRefused(ErrorCode code) {
-  Waiter.reset();
   bool overloaded = code == ErrorCode::TooManyConnections;
+  if (overloaded) {
+    ExpectedWait = Waiter->ExpectedWait;
+    // The queue is known at the node that has it, but other servers' queues are
+    // compared with it.
+    Group->recordWait(*Pool, Request.Route.Priority, ExpectedWait);
+  }
+  Waiter.reset();
   retryOrFinish(overloaded ? code : ErrorCode::Busy,
                 overloaded ? RetryCause::Overloaded
                            : RetryCause::ServerUnreachable);
@@ -485,6 +506,8 @@
     epoch = reply->Epoch;
   Group->recordReply(*Pool, RelayedAt, reply->Result, epoch);
   Epoch = reply->OnPrimary ? reply->Epoch : 0;
+  if (reply->RefusedByOwner && reply->ExpectedWait.count() > 0)
+    Group->recordWait(*Pool, Request.Route.Priority, reply->ExpectedWait);
   if (reply->Result.Error) {
     onError(reply->Result, !reply->RefusedByOwner);
     return;
@@ -684,6 +707,8 @@
 
 void StatementRun::finish(ErrorCode code, std::string_view reason) {
   RunResult result;
+  if (code == ErrorCode::TooManyConnections)
+    result.ExpectedWait = ExpectedWait;
   result.Reply.Error = code;
   result.Reply.ErrorText = reason;
   finish(std::move(result), reason);
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -44,6 +44,9 @@
   /// Runs a read on the primary, because no other server is known to be able to
   /// run it.
   void readFromPrimary();
+  /// Ends the statement if the owner of the server's connections is expected to
+  /// refuse it because of its load.
+  bool endIfOverloaded(const PoolPtr &pool);
   /// Plans the read again after \p delay, or earlier when a primary becomes
   /// usable.
   void waitForServer(std::chrono::nanoseconds delay);
@@ -118,6 +121,8 @@
   int UnansweredAttempts = 0;
   /// A server or an owner refused an attempt because of its load.
   bool RefusedForLoad = false;
+  /// The expected wait that this node's pool reported with its refusal.
+  std::chrono::nanoseconds ExpectedWait{0};
   bool Sent = false;
   bool PositionAwaited = false;
   bool Committing = false;
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -70,9 +70,10 @@
   auto now = base::BootClock::now();
   auto ahead =
       countAhead(waitingWork(), waiter->Organisation, waiter->Priority);
+  auto wait = admission::expectedWait(Grants, ahead);
   if (waiter->Deadline != base::BootTime{} && !Waiting.empty() &&
-      admission::shouldRefuse(admission::expectedWait(Grants, ahead),
-                              waiter->Deadline - now)) {
+      admission::shouldRefuse(wait, waiter->Deadline - now)) {
+    waiter->ExpectedWait = wait;
     waiter->OnRefused(sql::ErrorCode::TooManyConnections);
     return;
   }
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -46,6 +46,9 @@
   /// or is being removed (WrongServer), or has too much work waiting
   /// (TooManyConnections).
   std::function<void(sql::ErrorCode)> OnRefused;
+  /// Set before OnRefused is called with TooManyConnections: the wait that the
+  /// work would have had.
+  std::chrono::nanoseconds ExpectedWait{0};
 };
 using WaiterPtr = std::shared_ptr<Waiter>;
 
--- a/baobabpin/relay/Messages.cpp
+++ b/baobabpin/relay/Messages.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace baobabpin::relay {
 namespace {
 
@@ -25,6 +27,24 @@
   return static_cast<T>(n);
 }
 
+/// The longest duration that an optional member may state. It exceeds all time
+/// limits, and sums of such durations cannot overflow.
+constexpr std::int64_t MaxDurationMs = 3'600'000;
+
+/// Reads a duration that is omitted when it is 0, limited to a sensible range.
+std::chrono::milliseconds optionalDuration(const json &body, const char *key) {
+  auto it = body.find(key);
+  if (it == body.end())
+    return std::chrono::milliseconds(0);
+  if (!it->is_number_integer())
+    throw json::type_error::create(302, "not an integer", nullptr);
+  if (it->is_number_unsigned())
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(
+        it->get<std::uint64_t>(), static_cast<std::uint64_t>(MaxDurationMs))));
+  return std::chrono::milliseconds(
+      std::clamp<std::int64_t>(it->get<std::int64_t>(), 0, MaxDurationMs));
+}
+
 sql::Verb verbFrom(const json &it) {
   return enumFrom(it, sql::Verb::Deallocate);
 }
@@ -206,6 +226,8 @@
             {"result", toJson(it.Result)}, {"refused", it.RefusedByOwner},
             {"tx", it.Transaction},        {"epoch", it.Epoch},
             {"primary", it.OnPrimary}};
+  if (it.ExpectedWait.count() > 0)
+    body["wait_ms"] = it.ExpectedWait.count();
   if (it.Position) {
     body["position"] = toJson(*it.Position);
     body["position_age_ms"] = it.PositionAge.count();
@@ -240,6 +262,7 @@
     it.Leaving = body.at("leaving").get<bool>();
     it.Result = resultFrom(body.at("result"));
     it.RefusedByOwner = body.at("refused").get<bool>();
+    it.ExpectedWait = optionalDuration(body, "wait_ms");
     it.Transaction = body.at("tx").get<std::uint64_t>();
     it.Epoch = body.at("epoch").get<std::uint64_t>();
     it.OnPrimary = body.at("primary").get<bool>();
--- a/baobabpin/relay/Messages.h
+++ b/baobabpin/relay/Messages.h
@@ -73,6 +73,9 @@
   sql::Reply Result;
   /// The error in Result comes from the owner, not from the server.
   bool RefusedByOwner = false;
+  /// The expected wait that made the owner refuse the statement; 0 if it did
+  /// not refuse it for its load. Sent only when it is not 0.
+  std::chrono::milliseconds ExpectedWait{0};
   /// The owner's number of the transaction that is open after the statement, or
   /// 0 if none is open. Further requests of the transaction send it in
   /// Request::Transaction.
--- a/baobabpin/relay/MessagesTest.cpp
+++ b/baobabpin/relay/MessagesTest.cpp
@@ -81,6 +81,27 @@
   CHECK_FALSE(got->Result.Error.has_value());
 }
 
+TEST_CASE("the expected wait of a refusal is sent only if there is one") {
+  // Guards against a message that older nodes do not expect, and against a
+  // value that overflows when it is added to a time.
+  Reply sent;
+  CHECK(encode(sent).find("wait_ms") == std::string::npos);
+  CHECK(decodeReply(encode(sent))->ExpectedWait == 0ms);
+  sent.ExpectedWait = 750ms;
+  std::string text = encode(sent);
+  CHECK(decodeReply(text)->ExpectedWait == 750ms);
+  auto withWait = [&](const std::string &value) {
+    std::string changed = text;
+    return changed.replace(changed.find("\"wait_ms\":750"), 13,
+                           "\"wait_ms\":" + value);
+  };
+  CHECK(decodeReply(withWait("-5"))->ExpectedWait == 0ms);
+  CHECK(decodeReply(withWait("18446744073709551615"))->ExpectedWait == 1h);
+  CHECK(decodeReply(withWait("-9223372036854775808"))->ExpectedWait == 0ms);
+  CHECK_FALSE(decodeReply(withWait("1e300")));
+  CHECK_FALSE(decodeReply(withWait("\"x\"")));
+}
+
 TEST_CASE("a deeply nested message does not end the process") {
   const std::size_t depth = 200'000;
   std::string nested = std::string(depth, '[') + std::string(depth, ']');
