--- a/baobabpin/cluster/ReplicaChoice.cpp
+++ b/baobabpin/cluster/ReplicaChoice.cpp
@@ -1,5 +1,8 @@
 #include "baobabpin/cluster/ReplicaChoice.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace baobabpin::cluster {
 namespace {
 
@@ -7,6 +10,7 @@
   auto connections = it.Connections > 0 ? it.Connections : 1;
   std::chrono::nanoseconds cost =
       it.Latency + it.Latency * it.Load / connections;
+  cost += it.QueueWait;
   if (!it.SameZone)
     cost += OtherZoneCost;
   if (it.Primary)
@@ -18,20 +22,41 @@
 
 } // namespace
 
-std::optional<std::size_t>
-chooseReadServer(const std::vector<ReadCandidate> &candidates) {
-  std::optional<std::size_t> best;
-  std::chrono::nanoseconds bestCost{0};
+ReadPlan planRead(const std::vector<ReadCandidate> &candidates,
+                  std::chrono::nanoseconds timeLeft) {
+  ReadPlan plan;
+  std::optional<std::chrono::nanoseconds> bestCost;
+  std::optional<std::chrono::nanoseconds> earliest;
+  bool reachable = false;
   for (std::size_t n = 0; n < candidates.size(); ++n) {
-    if (candidates[n].Unreachable)
+    const ReadCandidate &it = candidates[n];
+    if (it.Unreachable)
+      continue;
+    reachable = true;
+    if (it.Overloaded) {
+      plan.Overloaded = true;
       continue;
-    auto cost = costOf(candidates[n]);
-    if (best && bestCost <= cost)
+    }
+    if (it.ReadyIn > std::chrono::nanoseconds(0)) {
+      earliest = std::min(earliest.value_or(it.ReadyIn), it.ReadyIn);
       continue;
-    best = n;
+    }
+    auto cost = costOf(it);
+    if (bestCost && *bestCost <= cost)
+      continue;
+    plan.Step = ReadStep::Send;
+    plan.Server = n;
     bestCost = cost;
   }
-  return best;
+  if (bestCost || !reachable)
+    return plan;
+  if (!earliest || *earliest >= timeLeft) {
+    plan.Step = ReadStep::NotInTime;
+    return plan;
+  }
+  plan.Step = ReadStep::Wait;
+  plan.Delay = std::min<std::chrono::nanoseconds>(*earliest, ReplanInterval);
+  return plan;
 }
 
 } // namespace baobabpin::cluster
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -1,7 +1,6 @@
 #include "baobabpin/frontend/GroupProxy.h"
 
 #include "baobabpin/cluster/OrganisationShares.h"
-#include "baobabpin/cluster/ReplicaChoice.h"
 #include "platform/Wire.h"
 
 #include <algorithm>
@@ -66,6 +65,8 @@
   std::erase_if(Pools, [&](auto &entry) {
     if (Cluster.servers().contains(entry.first))
       return false;
+    Progress.erase(entry.first);
+    Waits.erase(entry.first);
     entry.second->shutDown();
     Retiring.push_back(entry.second);
     return true;
@@ -181,38 +182,80 @@
   return it == Pools.end() ? nullptr : it->second;
 }
 
-PoolPtr
-GroupProxy::chooseForRead(base::LogPosition wanted,
-                          const std::set<base::ServerId> &excluded) const {
+ReadChoice GroupProxy::planRead(base::LogPosition wanted,
+                                const admission::Exclusions &exclusions,
+                                int priority,
+                                std::chrono::nanoseconds timeLeft) {
   auto now = base::BootClock::now();
   auto record = Cluster.view().Groups.find(Name);
   std::vector<PoolPtr> pools;
   std::vector<cluster::ReadCandidate> candidates;
+  std::vector<bool> isTrial;
   for (const auto &[id, pool] : Pools) {
     const auto &condition = pool->condition();
-    if (excluded.contains(id) || condition.WrongIdentity || isLeaving(id))
+    if (condition.WrongIdentity || isLeaving(id))
       continue;
     cluster::ReadCandidate it;
     it.SameZone = pool->server().Zone == Zone;
     it.Primary = record != Cluster.view().Groups.end() &&
                  record->second.Value.Primary == id;
-    it.Unreachable = condition.Unreachable && pool->openCount() == 0;
+    it.Unreachable = (condition.Unreachable && pool->openCount() == 0) ||
+                     admission::isOutOfReach(exclusions, id, now);
     it.CoversPosition = condition.Applied >= wanted;
     it.SinceLagging = now - condition.LastLagging;
+    it.ReadyIn = admission::excludedFor(exclusions, id, now);
+    const auto &progress = Progress[id];
+    std::chrono::nanoseconds lagDelay{0};
+    if (!it.Primary && !it.CoversPosition)
+      lagDelay = cluster::expectedDelay(progress, History, wanted, now);
+    bool behind = lagDelay > std::chrono::nanoseconds(0);
+    if (behind && !cluster::isTrialDue(progress, now))
+      it.ReadyIn = std::max(it.ReadyIn, lagDelay);
     it.Latency = condition.Latency;
+    it.QueueWait = admission::rememberedWait(Waits[id], priority, now);
+    it.Overloaded = it.QueueWait > std::chrono::nanoseconds(0) &&
+                    admission::shouldRefuse(it.QueueWait, timeLeft);
     it.Load = pool->load();
     it.Connections = pool->openCount();
     pools.push_back(pool);
     candidates.push_back(it);
+    isTrial.push_back(behind);
   }
-  auto best = cluster::chooseReadServer(candidates);
-  return best ? pools[*best] : nullptr;
+  auto plan = cluster::planRead(candidates, timeLeft);
+  ReadChoice choice{plan.Step, nullptr, plan.Delay, plan.Overloaded};
+  if (plan.Step != cluster::ReadStep::Send)
+    return choice;
+  choice.Pool = pools[plan.Server];
+  if (isTrial[plan.Server])
+    cluster::claimTrial(Progress[choice.Pool->server().Id], now);
+  return choice;
+}
+
+void GroupProxy::recordWait(const pooling::ServerPool &pool, int priority,
+                            std::chrono::nanoseconds wait) {
+  admission::recordWait(Waits[pool.server().Id], priority, wait,
+                        base::BootClock::now());
+}
+
+bool GroupProxy::isOverloaded(const pooling::ServerPool &pool, int priority,
+                              std::chrono::nanoseconds timeLeft) const {
+  auto it = Waits.find(pool.server().Id);
+  if (it == Waits.end())
+    return false;
+  auto wait =
+      admission::rememberedWait(it->second, priority, base::BootClock::now());
+  return wait > std::chrono::nanoseconds(0) &&
+         admission::shouldRefuse(wait, timeLeft);
 }
 
 void GroupProxy::recordReply(pooling::ServerPool &pool, base::BootTime sentAt,
                              const sql::Reply &reply,
                              std::optional<std::uint64_t> epoch) {
   pool.recordReply(sentAt, reply);
+  if (!epoch && !reply.Lost && reply.Position)
+    cluster::recordReport(Progress[pool.server().Id], History, *reply.Position,
+                          reply.Error == sql::ErrorCode::Lagging, sentAt,
+                          base::BootClock::now());
   if (!epoch || reply.Lost || !reply.Position)
     return;
   auto choice = primary();
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -3,9 +3,13 @@
 /// statements that wait for a primary.
 #pragma once
 
+#include "baobabpin/admission/Exclusions.h"
 #include "baobabpin/admission/RetryBudget.h"
+#include "baobabpin/admission/WaitHints.h"
 #include "baobabpin/cluster/MoveDecision.h"
 #include "baobabpin/cluster/PositionHistory.h"
+#include "baobabpin/cluster/ReplicaChoice.h"
+#include "baobabpin/cluster/ReplicaLag.h"
 #include "baobabpin/control/ClusterService.h"
 #include "baobabpin/frontend/OwnerChannels.h"
 #include "baobabpin/pooling/ServerPool.h"
@@ -15,7 +19,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace baobabpin::frontend {
@@ -29,6 +32,15 @@
   std::uint64_t Epoch = 0;
 };
 
+/// The next step of a read, and the server to send it to.
+struct ReadChoice {
+  cluster::ReadStep Step = cluster::ReadStep::NoneInReach;
+  PoolPtr Pool;
+  std::chrono::nanoseconds Delay{0};
+  /// A server was not considered because it is overloaded.
+  bool Overloaded = false;
+};
+
 /// The burst of the retry budget for reads without a timely reply. It is small
 /// because all nodes detect a slow group at about the same time and would all
 /// retry at once.
@@ -61,10 +73,19 @@
   }
   /// The pool of a server, or null.
   PoolPtr pool(const base::ServerId &id) const;
-  /// The best server, outside of \p excluded, for a read that needs the log
-  /// position \p wanted, or null.
-  PoolPtr chooseForRead(base::LogPosition wanted,
-                        const std::set<base::ServerId> &excluded) const;
+  /// Plans the next step of a read that needs the log position \p wanted.
+  /// Servers in \p exclusions are not asked until their exclusion ends.
+  ReadChoice planRead(base::LogPosition wanted,
+                      const admission::Exclusions &exclusions, int priority,
+                      std::chrono::nanoseconds timeLeft);
+  /// Records the wait that the owner of a server's connections reported when it
+  /// refused a statement of this priority.
+  void recordWait(const pooling::ServerPool &pool, int priority,
+                  std::chrono::nanoseconds wait);
+  /// Whether the owner of the server's connections is expected to refuse a
+  /// statement because of its load.
+  bool isOverloaded(const pooling::ServerPool &pool, int priority,
+                    std::chrono::nanoseconds timeLeft) const;
 
   /// The channel to the node that owns the server's connections, or null when
   /// this node connects to the server directly.
@@ -156,6 +177,8 @@
   /// The events of pools that exist no longer.
   pooling::PoolEvents PastEvents;
   cluster::PositionHistory History;
+  std::map<base::ServerId, cluster::ReplicaProgress> Progress;
+  std::map<base::ServerId, admission::WaitHints> Waits;
   std::list<std::weak_ptr<std::function<void()>>> WaitingForPrimary;
   admission::RetryBudget SlowReadBudget{
       .PerRequest = 0.1, .Burst = SlowReadBurst, .Tokens = SlowReadBurst};
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -75,9 +75,10 @@
   auto position = std::distance(Waiting.begin(), insertAt);
   auto ahead = countAhead(waitingWork(), waiter->Organisation, waiter->Priority,
                           static_cast<std::size_t>(position));
+  auto wait = admission::expectedWait(Grants, ahead);
   if (waiter->Deadline != base::BootTime{} && !Waiting.empty() &&
-      admission::shouldRefuse(admission::expectedWait(Grants, ahead),
-                              waiter->Deadline - now)) {
+      admission::shouldRefuse(wait, waiter->Deadline - now)) {
+    waiter->ExpectedWait = wait;
     waiter->OnRefused(sql::ErrorCode::TooManyConnections);
     return;
   }
