Find from a server's replies how many statements it gets at a time

The owner of a server's connections kept up to slots + 2 statements in flight from the first moment on, also at a server that had just returned, and read choice took a server without a known latency for the cheapest one.

The limit starts at 1, doubles with each round trip whose reply takes about as long as it should, is halved when the lower quartile of a round is above twice the due latency or when refusals show an overload, and starts again after a silence. Latencies are compared by database and kind of access, and a statement that waits at the server behind others is expected to take longer, so that slots + 2 in flight do not count as an overload.

--- a/baobabpin/cluster/PlacementTest.cpp
+++ b/baobabpin/cluster/PlacementTest.cpp
@@ -50,6 +50,17 @@
     lagging.CoversPosition = true;
     CHECK(chooseReadServer({lagging, far}) == 0u);
   }
+  SUBCASE("a server without a known latency is as fast as the median") {
+    // Guards against a server that has just started and gets all reads at once.
+    ReadCandidate unknown = replica();
+    unknown.Latency = 0ms;
+    ReadCandidate slow = replica();
+    slow.Latency = 14ms;
+    CHECK(chooseReadServer({unknown, replica(), slow}) == 1u);
+    CHECK(chooseReadServer({unknown, slow}) == 0u);
+    unknown.Load = 1;
+    CHECK(chooseReadServer({unknown, slow}) == 1u);
+  }
   SUBCASE("no server is chosen when none is reachable") {
     ReadCandidate dead = replica();
     dead.Unreachable = true;
--- a/baobabpin/cluster/ReplicaChoice.h
+++ b/baobabpin/cluster/ReplicaChoice.h
@@ -21,7 +21,8 @@
   bool CoversPosition = false;
   /// The time since the server last lacked a required position.
   std::chrono::nanoseconds SinceLagging{0};
-  /// The moving average of the time until a reply.
+  /// The moving average of the time until a reply, or 0 if none is known. The
+  /// server is then taken to be as fast as the median of the others.
   std::chrono::nanoseconds Latency{0};
   /// The statements of this node that the server runs or that wait for it.
   std::size_t Load = 0;
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -201,8 +201,17 @@
 
 void FrontendService::tick() {
   Channels->tick(base::BootClock::now());
-  for (const auto &[name, it] : Groups)
+  for (const auto &[name, it] : Groups) {
     it->tick();
+    it->reportStatementLimits([this](const base::ServerId &id, int limit) {
+      Kernel->metrics()
+          .gauge("baobabpin_server_statement_limit",
+                 "Single statements that this node may have in flight at the "
+                 "server; 0 if it does not limit them.",
+                 {{"server", id}})
+          .Set(limit);
+    });
+  }
   bool ready = isReady();
   if (std::exchange(WasReady, ready) != ready)
     Log.line("readiness")
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -184,6 +184,22 @@
   return best ? pools[*best] : nullptr;
 }
 
+void GroupProxy::reportStatementLimits(
+    const std::function<void(const base::ServerId &, int)> &report) {
+  for (const auto &[id, pool] : Pools) {
+    auto limit = pool->statementLimit().value_or(0);
+    if (std::exchange(ReportedLimits[id], limit) != limit)
+      report(id, limit);
+  }
+  std::erase_if(ReportedLimits, [&](const auto &entry) {
+    if (Pools.contains(entry.first))
+      return false;
+    if (entry.second != 0)
+      report(entry.first, 0);
+    return true;
+  });
+}
+
 void GroupProxy::recordReply(pooling::ServerPool &pool, base::BootTime sentAt,
                              const sql::Reply &reply,
                              std::optional<std::uint64_t> epoch) {
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -75,6 +75,11 @@
     return Channels.mayConnect(pool.server());
   }
 
+  /// Calls \p report for each server whose limit of statements in flight has
+  /// changed since the last call, with 0 if this node no longer limits them.
+  void reportStatementLimits(
+      const std::function<void(const base::ServerId &, int)> &report);
+
   /// Records a reply from the server of \p pool. \p epoch is the epoch in which
   /// the statement was sent, if the server was the usable primary then.
   void recordReply(pooling::ServerPool &pool, base::BootTime sentAt,
@@ -143,6 +148,7 @@
   base::GroupName Name;
   base::AvailabilityZone Zone;
   std::map<base::ServerId, PoolPtr> Pools;
+  std::map<base::ServerId, int> ReportedLimits;
   /// Pools of servers that were removed or changed address, kept until their
   /// connections in use have been released.
   std::list<PoolPtr> Retiring;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -45,6 +45,11 @@
   return prefix + std::to_string(base::hash64(it.Shape));
 }
 
+/// Names statements of similar cost: those of one database, reads or writes.
+std::string workKind(const RunRequest &it) {
+  return it.Route.Database + (it.Writes ? " write" : " read");
+}
+
 } // namespace
 
 StatementRun::StatementRun(kernel::EventLoop &loop, kernel::LineLog &log,
@@ -364,6 +369,7 @@
   }
   bool carriesPosition = WaitFor && !Request.Begin && !isPinned();
   Sent = true;
+  AwaitsLog = carriesPosition && Pool->condition().Applied < *WaitFor;
   Committing = Request.Writes;
   if (Committing)
     Group->beginCommit();
@@ -464,6 +470,9 @@
 
 void StatementRun::onReply(const sql::Reply &reply) {
   SlowTimer.cancel();
+  if (Connection)
+    Pool->recordPace(*Connection, reply,
+                     AwaitsLog ? std::string() : workKind(Request));
   bool committed = std::exchange(Committing, false);
   if (!OnDone) {
     if (committed)
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -108,6 +108,9 @@
   bool Sent = false;
   bool PositionAwaited = false;
   bool Committing = false;
+  /// The server was not known to have applied WaitFor when the statement was
+  /// sent, so the reply may have waited for its log.
+  bool AwaitsLog = false;
   kernel::Timer DeadlineTimer;
   kernel::Timer SlowTimer;
   kernel::Timer RetryTimer;
--- a/baobabpin/pooling/ServerConnection.h
+++ b/baobabpin/pooling/ServerConnection.h
@@ -66,6 +66,9 @@
   ConnectionSessionState Session;
   /// The kind of work that the connection was last granted for.
   WorkKind GrantedFor = WorkKind::Statement;
+  /// The work of the pool that occupied or awaited a slot of the server when
+  /// the connection was last granted, this work included.
+  int InFlightWhenGranted = 1;
   /// Called after each change to Idle or Closed that neither an OpenCallback
   /// nor a BatchCallback reports: after a batch whose replies were discarded,
   /// and after an unexpected close.
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -87,9 +87,40 @@
 }
 
 bool ServerPool::mayGrantNow(const Waiter &waiter, const PoolUse &use) const {
+  ConnectionShare share = Share;
+  if (limitsStatements())
+    share.Statements = std::min(share.Statements, Pace.Limit);
   return waiter.Organisation.empty()
-             ? mayGrant(use, Share, waiter.Kind)
-             : mayGrantToOrganisation(use, Share, waiter.Kind);
+             ? mayGrant(use, share, waiter.Kind)
+             : mayGrantToOrganisation(use, share, waiter.Kind);
+}
+
+bool ServerPool::limitsStatements() const {
+  return Share.Statements != std::numeric_limits<int>::max();
+}
+
+std::optional<int> ServerPool::statementLimit() const {
+  if (!limitsStatements())
+    return std::nullopt;
+  return std::min(Share.Statements, Pace.Limit);
+}
+
+void ServerPool::setShare(ConnectionShare share) {
+  bool limited = limitsStatements();
+  Share = share;
+  if (!limitsStatements())
+    return;
+  pacing::setCapacity(Pace, Server.Slots, Share.Statements);
+  if (!limited)
+    pacing::restart(Pace, base::BootClock::now());
+}
+
+void ServerPool::update(const cluster::ServerRegistration &server) {
+  bool otherRun = Server.StartedMs != 0 && server.StartedMs != 0 &&
+                  Server.StartedMs != server.StartedMs;
+  Server = server;
+  if (otherRun)
+    pacing::restart(Pace, base::BootClock::now());
 }
 
 std::vector<WaitingWork> ServerPool::waitingWork() const {
@@ -176,6 +207,9 @@
                        const WaiterPtr &waiter) {
   connection->GrantedFor = waiter->Kind;
   Busy.push_back(connection);
+  auto now = use();
+  connection->InFlightWhenGranted =
+      now.Statements + now.Transactions + counts().Opening;
   recordTurn(Turns, waiter->Organisation, waiter->Share);
   waiter->OnGranted(connection);
 }
@@ -296,6 +330,8 @@
     // has received its replies or was closed.
     if (removeFrom(Idle, it)) {
       it->OnSettled = nullptr;
+      if (openCount() == 0)
+        pacing::restart(Pace, base::BootClock::now());
       return;
     }
     if (!removeFrom(Abandoned, it))
@@ -342,8 +378,10 @@
   if (!Condition.Unreachable)
     Condition.UnreachableSince = now;
   Condition.Unreachable = true;
-  if (openCount() == 0)
+  if (openCount() == 0) {
+    pacing::restart(Pace, now);
     refuseAll(sql::ErrorCode::Busy);
+  }
 }
 
 void ServerPool::refuseAll(sql::ErrorCode code) {
@@ -366,7 +404,43 @@
     Condition.Applied = *reply.Position;
 }
 
+void ServerPool::recordPace(const ServerConnection &connection,
+                            const sql::Reply &reply, std::string_view kind) {
+  if (!limitsStatements())
+    return;
+  auto now = base::BootClock::now();
+  if (reply.Lost) {
+    pacing::recordLoss(Pace, connection.sentAt(), now);
+    return;
+  }
+  bool refused = reply.Error == sql::ErrorCode::Busy;
+  if (reply.Error && !refused) {
+    pacing::recordError(Pace, now);
+    return;
+  }
+  // Statements of a transaction keep the slot that its first one waited for.
+  bool comparable = connection.GrantedFor == WorkKind::Statement;
+  pacing::recordReply(Pace, {.SentAt = connection.sentAt(),
+                             .At = now,
+                             .Kind = comparable ? kind : std::string_view(),
+                             .InFlight = connection.InFlightWhenGranted,
+                             .Refused = refused});
+}
+
+void ServerPool::checkSilence(base::BootTime now) {
+  if (!limitsStatements())
+    return;
+  for (const auto *list : {&Busy, &Abandoned}) {
+    for (const auto &it : *list) {
+      if (it->phase() == ServerConnection::Phase::Running &&
+          it->GrantedFor != WorkKind::Probe)
+        pacing::recordSilence(Pace, it->sentAt(), now);
+    }
+  }
+}
+
 void ServerPool::maintain(base::BootTime now) {
+  checkSilence(now);
   auto stale = Abandoned;
   for (const auto &it : stale) {
     if (now - it->sentAt() < AbandonedReplyTimeout)
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -11,6 +11,7 @@
 
 #include "baobabpin/admission/QueueWait.h"
 #include "baobabpin/cluster/Types.h"
+#include "baobabpin/pacing/StatementPace.h"
 #include "baobabpin/pooling/OrganisationPolicy.h"
 #include "baobabpin/pooling/PoolPolicy.h"
 #include "baobabpin/pooling/ServerConnection.h"
@@ -94,6 +95,11 @@
   /// Updates the condition of the server from the reply to a statement that was
   /// sent at \p sentAt.
   void recordReply(base::BootTime sentAt, const sql::Reply &reply);
+  /// Updates the limit of statements in flight from the reply to a statement of
+  /// a client. \p kind names statements of similar cost, or is empty if the
+  /// time until the reply does not show the load.
+  void recordPace(const ServerConnection &connection, const sql::Reply &reply,
+                  std::string_view kind);
   /// Opens a connection if requests wait, or if there is none and the share
   /// guarantees one. Closes borrowed connections that have been idle too long,
   /// and abandoned connections whose reply is lost.
@@ -101,12 +107,15 @@
   /// Refuses all waiting work and closes idle connections.
   void shutDown();
 
-  void setShare(ConnectionShare share) { Share = share; }
+  void setShare(ConnectionShare share);
+  /// The single statements that may be in flight now, or nothing if the share
+  /// of this node does not limit them.
+  std::optional<int> statementLimit() const;
   /// The number of transactions that were aborted because their clients rested
   /// while other work waited for a connection.
   std::uint64_t reclaimedCount() const { return Reclaimed; }
   const cluster::ServerRegistration &server() const { return Server; }
-  void update(const cluster::ServerRegistration &server) { Server = server; }
+  void update(const cluster::ServerRegistration &server);
   const ServerCondition &condition() const { return Condition; }
   /// The number of connections in use plus the number of waiting requests.
   std::size_t load() const { return Busy.size() + Waiting.size(); }
@@ -131,6 +140,10 @@
   /// Takes an idle connection that \p waiter may use, or returns null.
   ServerConnectionPtr takeIdleFor(const Waiter &waiter);
   bool mayGrantNow(const Waiter &waiter, const PoolUse &use) const;
+  bool limitsStatements() const;
+  /// Lets the limit of statements start again if the server owes replies for
+  /// too long.
+  void checkSilence(base::BootTime now);
   /// The waiting work, each entry judged by the limits as if it were the next
   /// to run.
   std::vector<WaitingWork> waitingWork() const;
@@ -146,6 +159,7 @@
   cluster::ServerRegistration Server;
   ConnectionShare Share;
   ServerCondition Condition;
+  pacing::StatementPace Pace;
   /// Open connections that are not in use.
   std::vector<ServerConnectionPtr> Idle;
   /// Connections that have been granted and not yet returned.
