--- a/baobabpin/cluster/PlacementTest.cpp
+++ b/baobabpin/cluster/PlacementTest.cpp
@@ -76,6 +76,17 @@
     primary.QueueWait = 60ms;
     CHECK(chooseReadServer({busy, primary}) == 0u);
   }
+  SUBCASE("a server without a known latency is as fast as the median") {
+    // Guards against a server that has just started and gets all reads at once.
+    ReadCandidate unknown = replica();
+    unknown.Latency = 0ms;
+    ReadCandidate slow = replica();
+    slow.Latency = 14ms;
+    CHECK(chooseReadServer({unknown, replica(), slow}) == 1u);
+    CHECK(chooseReadServer({unknown, slow}) == 0u);
+    unknown.Load = 1;
+    CHECK(chooseReadServer({unknown, slow}) == 1u);
+  }
   SUBCASE("no server is chosen when none is reachable") {
     ReadCandidate dead = replica();
     dead.Unreachable = true;
--- a/baobabpin/cluster/ReplicaChoice.cpp
+++ b/baobabpin/cluster/ReplicaChoice.cpp
@@ -6,10 +6,26 @@
 namespace baobabpin::cluster {
 namespace {
 
-std::chrono::nanoseconds costOf(const ReadCandidate &it) {
+/// The median of the known latencies, or 0 if none is known. A server that has
+/// just started would otherwise be the cheapest one and get all reads.
+std::chrono::nanoseconds
+medianLatency(const std::vector<ReadCandidate> &candidates) {
+  std::vector<std::chrono::nanoseconds> known;
+  for (const auto &it : candidates) {
+    if (it.Latency.count() > 0)
+      known.push_back(it.Latency);
+  }
+  if (known.empty())
+    return {};
+  std::ranges::sort(known);
+  return (known[(known.size() - 1) / 2] + known[known.size() / 2]) / 2;
+}
+
+std::chrono::nanoseconds costOf(const ReadCandidate &it,
+                                std::chrono::nanoseconds unknownLatency) {
   auto connections = it.Connections > 0 ? it.Connections : 1;
-  std::chrono::nanoseconds cost =
-      it.Latency + it.Latency * it.Load / connections;
+  auto latency = it.Latency.count() > 0 ? it.Latency : unknownLatency;
+  std::chrono::nanoseconds cost = latency + latency * it.Load / connections;
   cost += it.QueueWait;
   if (!it.SameZone)
     cost += OtherZoneCost;
@@ -24,6 +40,7 @@
 
 ReadPlan planRead(const std::vector<ReadCandidate> &candidates,
                   std::chrono::nanoseconds timeLeft) {
+  auto unknownLatency = medianLatency(candidates);
   ReadPlan plan;
   std::optional<std::chrono::nanoseconds> bestCost;
   std::optional<std::chrono::nanoseconds> earliest;
@@ -41,7 +58,7 @@
       earliest = std::min(earliest.value_or(it.ReadyIn), it.ReadyIn);
       continue;
     }
-    auto cost = costOf(it);
+    auto cost = costOf(it, unknownLatency);
     if (bestCost && *bestCost <= cost)
       continue;
     plan.Step = ReadStep::Send;
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -268,9 +268,17 @@
          now - EndedSessions.front().first > LastRepliesTime)
     EndedSessions.pop_front();
   Channels->tick(now);
-  for (const auto &[name, it] : Groups)
+  for (const auto &[name, it] : Groups) {
     it->tick();
-  auto now = base::BootClock::now();
+    it->reportStatementLimits([this](const base::ServerId &id, int limit) {
+      Kernel->metrics()
+          .gauge("baobabpin_server_statement_limit",
+                 "Single statements that this node may have in flight at the "
+                 "server; 0 if it does not limit them.",
+                 {{"server", id}})
+          .Set(limit);
+    });
+  }
   auto state = readinessState();
   if (!isIsolated(state))
     LastReachableAt = now;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -66,6 +66,11 @@
                                      : admission::Failure::NoReply;
 }
 
+/// Names statements of similar cost: those of one database, reads or writes.
+std::string workKind(const RunRequest &it) {
+  return it.Route.Database + (it.Writes ? " write" : " read");
+}
+
 } // namespace
 
 StatementRun::StatementRun(kernel::EventLoop &loop, kernel::LineLog &log,
@@ -440,6 +445,7 @@
   }
   bool carriesPosition = WaitFor && !Request.Begin && !isPinned();
   Sent = true;
+  AwaitsLog = carriesPosition && Pool->condition().Applied < *WaitFor;
   Committing = Request.Writes;
   if (Committing)
     Group->beginCommit();
@@ -549,6 +555,9 @@
 
 void StatementRun::onReply(const sql::Reply &reply) {
   SlowTimer.cancel();
+  if (Connection)
+    Pool->recordPace(*Connection, reply,
+                     AwaitsLog ? std::string() : workKind(Request));
   bool committed = std::exchange(Committing, false);
   if (!OnDone) {
     if (committed)
