--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -226,6 +226,14 @@
   pooling::PoolConnections sum;
   for (const auto &[name, it] : Groups) {
     it->addConnections(sum);
+    it->reportStatementLimits([this](const base::ServerId &id, int limit) {
+      Kernel->metrics()
+          .gauge("baobabpin_server_statement_limit",
+                 "Single statements that this node may have in flight at the "
+                 "server; 0 if it does not limit them.",
+                 {{"server", id}})
+          .Set(limit);
+    });
     auto events = it->poolEvents();
     auto before = std::exchange(ReportedEvents[name], events);
     auto reclaimed = events.Reclaimed - before.Reclaimed;
@@ -268,17 +276,8 @@
          now - EndedSessions.front().first > LastRepliesTime)
     EndedSessions.pop_front();
   Channels->tick(now);
-  for (const auto &[name, it] : Groups) {
+  for (const auto &[name, it] : Groups)
     it->tick();
-    it->reportStatementLimits([this](const base::ServerId &id, int limit) {
-      Kernel->metrics()
-          .gauge("baobabpin_server_statement_limit",
-                 "Single statements that this node may have in flight at the "
-                 "server; 0 if it does not limit them.",
-                 {{"server", id}})
-          .Set(limit);
-    });
-  }
   auto state = readinessState();
   if (!isIsolated(state))
     LastReachableAt = now;
