--- a/baobabpin/quota/GranterRole.cpp
+++ b/baobabpin/quota/GranterRole.cpp
@@ -68,9 +68,9 @@
 
 const std::vector<GranterRanking::Candidate> &
 GranterRanking::ranked(const base::OrganisationName &organisation) const {
-  static const std::vector<Candidate> None;
+  static const std::vector<Candidate> none;
   auto it = Ranked.find(organisation);
-  return it == Ranked.end() ? None : it->second;
+  return it == Ranked.end() ? none : it->second;
 }
 
 bool GranterRanking::isGranter(const base::OrganisationName &organisation,
