Do not take the own lateness for the silence of a primary

A node whose event loop ran late read the replies of a primary or of an owner after it had suspected them, and its suspicion spread. The loop now records when its ticks run late. Silence of a primary, of an owner and of a coordinator counts only while the loop ran on time. A node that was late within the last 450 ms of a silence suspects nothing, and its evidence reply says that it does not know. What may be discounted is bounded (the longest gap and 2 s more), so that nodes that are late all the time still replace a failed primary.

The reply age in evidence and relay replies counts all time, because other nodes take it as a sign that the primary is alive.

--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -9,6 +9,8 @@
 bool isSuspect(const PrimaryObservation &own) {
   if (own.Leaving)
     return true;
+  if (own.Unsure)
+    return false;
   if (!own.PrimaryReplyAge)
     return own.Unreachable;
   if (own.Unreachable && *own.PrimaryReplyAge > SuspectUnreachableAfter)
@@ -32,26 +34,33 @@
 
 namespace {
 
-/// Returns whether at least half of the reachable nodes, this one included,
+/// Returns the number of peers that know whether the primary is alive.
+std::size_t countKnowing(const FailoverEvidence &evidence) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      evidence.Peers, [](const PeerEvidence &it) { return !it.Unsure; }));
+}
+
+/// Returns whether at least half of the nodes that know, this one included,
 /// have a recent reply from the primary.
 bool isConfirmedAlive(const FailoverEvidence &evidence) {
   std::size_t aliveReports = isSuspect(evidence.Own) ? 0 : 1;
   for (const auto &it : evidence.Peers) {
-    if (it.PrimaryReplyAge && *it.PrimaryReplyAge < AliveReplyAge)
+    if (!it.Unsure && it.PrimaryReplyAge && *it.PrimaryReplyAge < AliveReplyAge)
       ++aliveReports;
   }
-  return 2 * aliveReports >= evidence.Peers.size() + 1;
+  return 2 * aliveReports >= countKnowing(evidence) + 1;
 }
 
 /// The holder of the promotion duty keeps it while it reaches the store, so
 /// that the duty does not change hands without need. Otherwise the first node
 /// by name takes it.
-std::string chooseCoordinator(const FailoverEvidence &evidence) {
+std::string chooseCoordinator(const FailoverEvidence &evidence, bool needed) {
   std::vector<std::string> capable;
   if (evidence.SelfCanCoordinate)
     capable.push_back(evidence.Self);
   for (const auto &it : evidence.Peers) {
-    if (it.CanCoordinate)
+    // A peer that is unsure would not start the failover.
+    if (it.CanCoordinate && (needed || !it.Unsure))
       capable.push_back(it.Node);
   }
   if (capable.empty())
@@ -85,12 +94,15 @@
   bool needed = evidence.Own.Leaving || evidence.TakingOver;
   if (!needed && isConfirmedAlive(evidence))
     return FailoverVerdict::KeepPrimary;
-  bool isolated = 2 * evidence.Peers.size() < evidence.PeersAsked;
+  if (!needed && evidence.Own.Unsure)
+    return FailoverVerdict::Undecided;
+  std::size_t heard = needed ? evidence.Peers.size() : countKnowing(evidence);
+  bool isolated = 2 * heard < evidence.PeersAsked;
   bool delayPassed = evidence.Own.PrimaryReplyAge.value_or(IsolatedNodeDelay) >=
                      IsolatedNodeDelay;
   if (isolated && !needed && !delayPassed)
     return FailoverVerdict::Undecided;
-  std::string coordinator = chooseCoordinator(evidence);
+  std::string coordinator = chooseCoordinator(evidence, needed);
   if (coordinator.empty())
     return FailoverVerdict::Undecided;
   return coordinator == evidence.Self ? FailoverVerdict::StartFailover
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -27,10 +27,10 @@
 /// A node that received a reply from the primary within this time confirms that
 /// the primary is alive.
 inline constexpr std::chrono::milliseconds AliveReplyAge{450};
-/// A node that reaches fewer than half of the nodes it asks starts a failover
-/// only after this time without a reply from the primary. The delay does not
-/// apply to a planned failover, to a takeover, or to a primary that never
-/// replied to this node.
+/// A node that gets evidence from fewer than half of the nodes it asks, because
+/// they do not answer or are unsure, starts a failover only after this time
+/// without a reply from the primary. The delay does not apply to a planned
+/// failover, to a takeover, or to a primary that never replied to this node.
 inline constexpr std::chrono::milliseconds IsolatedNodeDelay{2500};
 /// Another node takes over a failover whose record has not changed for this
 /// long.
@@ -45,10 +45,12 @@
   std::optional<std::chrono::nanoseconds> PrimaryReplyAge;
   /// Connections to the primary fail.
   bool Unreachable = false;
+  /// This node was late, and may have missed replies of the primary.
+  bool Unsure = false;
 };
 
 /// Returns whether the primary may have failed or is leaving, so that this node
-/// should poll its peers.
+/// should poll its peers. A node that is unsure suspects no primary.
 bool isSuspect(const PrimaryObservation &own);
 
 /// What a peer reported about the primary.
@@ -60,6 +62,8 @@
   bool FailoverInProgress = false;
   /// The time since the primary's last reply to the peer.
   std::optional<std::chrono::milliseconds> PrimaryReplyAge;
+  /// The peer was late, and does not know whether the primary is alive.
+  bool Unsure = false;
 };
 
 /// The input of decideFailover().
@@ -109,6 +113,9 @@
 /// Returns whether the node may take the duty, or keep it.
 bool mayHoldDuty(const DutyHistory &history, base::BootTime now);
 
+/// Peers that are unsure count as if they had not answered. A node that is
+/// unsure itself starts a failover only if the primary is leaving or if it
+/// takes a failover over.
 FailoverVerdict decideFailover(const FailoverEvidence &evidence);
 
 /// A server that could become the primary.
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -77,6 +77,49 @@
   }
 }
 
+TEST_CASE("nodes that were late do not replace a primary") {
+  // Guards against primaries that are replaced although they run, because nodes
+  // took their own lateness for the silence of the primary.
+  FailoverEvidence evidence = silentPrimaryEvidence();
+  evidence.DutyHolder = "n2";
+  SUBCASE("a late node neither suspects it nor starts a failover") {
+    evidence.Own.Unsure = true;
+    CHECK_FALSE(isSuspect(evidence.Own));
+    CHECK(decideFailover(evidence) == FailoverVerdict::Undecided);
+  }
+  SUBCASE("late peers are no evidence against it") {
+    evidence.Peers = {peer("n1", 700ms), peer("n3", 30ms), peer("n4", 700ms),
+                      peer("n5", 700ms)};
+    evidence.PeersAsked = 4;
+    CHECK(decideFailover(evidence) == FailoverVerdict::StartFailover);
+    evidence.Peers[0].Unsure = true;
+    evidence.Peers[2].Unsure = true;
+    evidence.Own.PrimaryReplyAge = 200ms;
+    CHECK(decideFailover(evidence) == FailoverVerdict::KeepPrimary);
+    evidence.Own.PrimaryReplyAge = 700ms;
+    evidence.Peers[3].Unsure = true;
+    CHECK(decideFailover(evidence) == FailoverVerdict::KeepPrimary);
+  }
+  SUBCASE("among late peers a node waits as if they did not answer") {
+    for (auto &it : evidence.Peers)
+      it.Unsure = true;
+    CHECK(decideFailover(evidence) == FailoverVerdict::Undecided);
+    evidence.Own.PrimaryReplyAge = IsolatedNodeDelay;
+    CHECK(decideFailover(evidence) == FailoverVerdict::StartFailover);
+  }
+  SUBCASE("another node takes the duty from a holder that is late") {
+    evidence.DutyHolder = "n1";
+    CHECK(decideFailover(evidence) == FailoverVerdict::DeferToOther);
+    evidence.Peers[0].Unsure = true;
+    CHECK(decideFailover(evidence) == FailoverVerdict::StartFailover);
+  }
+  SUBCASE("a late node replaces a primary that is leaving") {
+    evidence.Own = {.Leaving = true, .Unsure = true};
+    CHECK(isSuspect(evidence.Own));
+    CHECK(decideFailover(evidence) == FailoverVerdict::StartFailover);
+  }
+}
+
 TEST_CASE("a primary that is leaving is replaced although it replies") {
   FailoverEvidence evidence = silentPrimaryEvidence();
   evidence.Own = {.Leaving = true, .PrimaryReplyAge = 10ms};
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -39,6 +39,9 @@
   std::function<std::optional<std::chrono::milliseconds>(
       const base::GroupName &)>
       PrimaryReplyAge;
+  /// Returns whether this node was late, so that a silence of the group's
+  /// primary says nothing.
+  std::function<bool(const base::GroupName &)> IsUnsure;
   /// Calls the callback when no commit is in flight at the group's primary any
   /// more, or after a short timeout.
   std::function<void(const base::GroupName &, std::function<void()>)>
--- a/baobabpin/control/ClusterSync.cpp
+++ b/baobabpin/control/ClusterSync.cpp
@@ -258,8 +258,10 @@
     // nodes would poll each other forever.
     if (suspected)
       Hooks.OnPrimarySuspected(group);
-    reply.Groups[group] = {Hooks.PrimaryReplyAge(group),
-                           Hooks.IsFailingOver(group)};
+    auto age = Hooks.PrimaryReplyAge(group);
+    bool vouches = age && *age < cluster::AliveReplyAge;
+    reply.Groups[group] = {age, Hooks.IsFailingOver(group),
+                           !vouches && Hooks.IsUnsure && Hooks.IsUnsure(group)};
   }
   responder->json(200, encode(reply));
 }
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -121,8 +121,10 @@
     return;
   }
   bool startupDone = now - StartedAt > StartupGracePeriod;
-  bool takingOver = record.FailoverInProgress &&
-                    now - state.RecordSeen > cluster::FailoverStallTimeout;
+  bool takingOver =
+      record.FailoverInProgress &&
+      kernel::onTimeSilence(Kernel->loop().lateness(), state.RecordSeen, now) >
+          cluster::FailoverStallTimeout;
   bool suspect = startupDone && !record.FailoverInProgress &&
                  cluster::isSuspect(Access.Observe(group));
   if (!Cluster->isMonitoring())
@@ -220,7 +222,7 @@
       continue;
     evidence.Peers.push_back({node, reply.CanCoordinate,
                               it->second.FailoverInProgress,
-                              it->second.PrimaryReplyAge});
+                              it->second.PrimaryReplyAge, it->second.Unsure});
   }
 }
 
@@ -254,6 +256,10 @@
       .add("heard_age_ms",
            evidence.Own.PrimaryReplyAge.value_or(std::chrono::seconds(-1)))
       .add("unreachable", evidence.Own.Unreachable ? "yes" : "no")
+      .add("unsure", evidence.Own.Unsure ? "yes" : "no")
+      .add("peers_unsure",
+           static_cast<std::int64_t>(std::ranges::count_if(
+               evidence.Peers, [](const auto &it) { return it.Unsure; })))
       .add("peers_replied", static_cast<std::int64_t>(evidence.Peers.size()))
       .add("peers_vouching", static_cast<std::int64_t>(confirming))
       .add("duty_holder", evidence.DutyHolder)
--- a/baobabpin/control/MalformedMessagesTest.cpp
+++ b/baobabpin/control/MalformedMessagesTest.cpp
@@ -218,5 +218,17 @@
   CHECK(revoke->Era == 0);
 }
 
+TEST_CASE("an evidence reply says that the node does not know") {
+  // Guards against a late node whose reply counts against a primary that runs,
+  // and against a changed message where no node is late.
+  EvidenceReply reply{true, {{"g", {700ms, false, true}}}};
+  auto decoded = decodeEvidenceReply(encode(reply));
+  REQUIRE(decoded);
+  CHECK(decoded->Groups.at("g").Unsure);
+  reply.Groups.at("g").Unsure = false;
+  CHECK(encode(reply).find("unsure") == std::string::npos);
+  CHECK_FALSE(decodeEvidenceReply(encode(reply))->Groups.at("g").Unsure);
+}
+
 } // namespace
 } // namespace baobabpin::control
--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -129,6 +129,8 @@
     groups[group] = {{"moving", evidence.FailoverInProgress}};
     if (evidence.PrimaryReplyAge)
       groups[group]["heard_ms"] = evidence.PrimaryReplyAge->count();
+    if (evidence.Unsure)
+      groups[group]["unsure"] = true;
   }
   return json{{"store", it.CanCoordinate}, {"groups", groups}}.dump();
 }
@@ -208,6 +210,8 @@
       known.FailoverInProgress = evidence.at("moving").get<bool>();
       if (evidence.contains("heard_ms"))
         known.PrimaryReplyAge = parseAge(evidence["heard_ms"]);
+      // Older program versions do not send it.
+      known.Unsure = evidence.value("unsure", false);
     }
     return reply;
   });
--- a/baobabpin/control/PeerCalls.h
+++ b/baobabpin/control/PeerCalls.h
@@ -90,6 +90,9 @@
   std::optional<std::chrono::milliseconds> PrimaryReplyAge;
   /// This node is running a failover of the group.
   bool FailoverInProgress = false;
+  /// The replying node was late, and does not know whether the primary is
+  /// alive.
+  bool Unsure = false;
 };
 
 struct EvidenceReply {
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -92,6 +92,7 @@
       [this](const cluster::Route &route, std::string_view key) {
         return authorize(route, key);
       }});
+  loop.measureLateness();
   Cluster->subscribe([this] { onClusterChanged(); });
   Readiness = std::make_unique<http::HttpServer>(loop);
   Readiness->handle(
@@ -315,6 +316,10 @@
     auto it = group(name);
     return it ? it->primaryReplyAge() : std::nullopt;
   };
+  hooks.IsUnsure = [this](const base::GroupName &name) {
+    auto it = group(name);
+    return it && it->primaryObservation().Unsure;
+  };
   hooks.DrainPrimary = [this](const base::GroupName &name,
                               std::function<void()> done) {
     if (auto it = group(name))
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -366,10 +366,22 @@
 }
 
 std::optional<milliseconds> GroupProxy::primaryReplyAge() const {
-  auto age = primaryObservation().PrimaryReplyAge;
-  if (!age)
+  auto since = lastPrimaryReply();
+  if (!since)
     return std::nullopt;
-  return std::chrono::ceil<milliseconds>(*age);
+  return std::chrono::ceil<milliseconds>(base::BootClock::now() - *since);
+}
+
+std::optional<base::BootTime> GroupProxy::lastPrimaryReply() const {
+  auto record = Cluster.view().Groups.find(Name);
+  if (record == Cluster.view().Groups.end())
+    return std::nullopt;
+  auto server = pool(record->second.Value.Primary);
+  if (!server)
+    return std::nullopt;
+  auto last =
+      std::max({server->condition().LastContact, PrimarySince, OwnerLastReply});
+  return last == base::BootTime{} ? std::nullopt : std::optional(last);
 }
 
 cluster::PrimaryObservation GroupProxy::primaryObservation() const {
@@ -384,10 +396,12 @@
   if (!server)
     return it;
   it.Unreachable = server->condition().Unreachable;
-  auto lastReplyAt =
-      std::max({server->condition().LastContact, PrimarySince, OwnerLastReply});
-  if (lastReplyAt != base::BootTime{})
-    it.PrimaryReplyAge = base::BootClock::now() - lastReplyAt;
+  auto now = base::BootClock::now();
+  if (auto since = lastPrimaryReply()) {
+    const auto &lateness = Loop.lateness();
+    it.PrimaryReplyAge = kernel::onTimeSilence(lateness, *since, now);
+    it.Unsure = kernel::isUnsure(lateness, *since, now, cluster::SuspectAfter);
+  }
   return it;
 }
 
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -114,11 +114,14 @@
   /// others.
   double organisationShare(const base::OrganisationName &organisation) const;
 
+  /// The reply age of the observation does not count time in which this node
+  /// was late (kernel/Lateness.h).
   cluster::PrimaryObservation primaryObservation() const;
   /// Time since the primary last replied to this node or, as far as this node
   /// knows, to the owner of its connections. The time at which this node began
   /// to use the primary counts as a reply. Empty if none of these times is
-  /// known.
+  /// known. Other nodes take it as evidence that the primary is alive, so it
+  /// counts all time.
   std::optional<std::chrono::milliseconds> primaryReplyAge() const;
   const base::GroupName &name() const { return Name; }
 
@@ -133,6 +136,8 @@
   void probeThroughOwner(const ChannelPtr &channel, std::uint64_t epoch);
   pooling::ConnectionShare shareOf(const cluster::ServerRegistration &server);
   void resumeWaiting();
+  /// Returns when the primary last replied, or nothing if that is not known.
+  std::optional<base::BootTime> lastPrimaryReply() const;
   /// Returns whether a server other than \p primary is not known to be leaving
   /// or out of reach.
   bool hasReplacementFor(const base::ServerId &primary) const;
--- a/baobabpin/kernel/EventLoop.cpp
+++ b/baobabpin/kernel/EventLoop.cpp
@@ -91,6 +91,8 @@
   std::vector<std::function<void()>> Posted;
   std::vector<std::pair<EventPtr, std::unique_ptr<std::function<void()>>>>
       Signals;
+  LatenessHistory Lateness;
+  Timer LatenessTicker;
 
   /// Runs the callbacks that have been posted so far.
   void runPosted() {
@@ -127,6 +129,7 @@
 
 EventLoop::~EventLoop() {
   Impl->Signals.clear();
+  Impl->LatenessTicker.cancel();
   Impl->Wakeup.reset();
   close(Impl->WakeupFd);
   event_base_free(Impl->Base);
@@ -170,6 +173,14 @@
   });
 }
 
+void EventLoop::measureLateness() {
+  Impl->LatenessTicker = runEvery(LatenessTickPeriod, [it = Impl.get()] {
+    noteTick(it->Lateness, base::BootClock::now());
+  });
+}
+
+const LatenessHistory &EventLoop::lateness() const { return Impl->Lateness; }
+
 void EventLoop::onSignal(int signal, std::function<void()> callback) {
   auto holder = std::make_unique<std::function<void()>>(std::move(callback));
   EventPtr it(event_new(
--- a/baobabpin/kernel/EventLoop.h
+++ b/baobabpin/kernel/EventLoop.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "baobabpin/base/Time.h"
+#include "baobabpin/kernel/Lateness.h"
 
 #include <functional>
 #include <memory>
@@ -72,6 +73,11 @@
   /// signal.
   void onSignal(int signal, std::function<void()> callback);
 
+  /// Begins to measure how late the loop runs.
+  void measureLateness();
+  /// Empty without measureLateness().
+  const LatenessHistory &lateness() const;
+
   /// Returns the underlying libevent object, for code that uses libevent
   /// directly, such as HTTP and UDP.
   event_base *base() const;
--- a/baobabpin/relay/Channel.cpp
+++ b/baobabpin/relay/Channel.cpp
@@ -21,7 +21,7 @@
 
 std::shared_ptr<Channel> Channel::open(kernel::EventLoop &loop,
                                        const http::Endpoint &owner) {
-  std::shared_ptr<Channel> it(new Channel);
+  std::shared_ptr<Channel> it(new Channel(loop));
   it->LastReceivedAt = base::BootClock::now();
   it->Connection = net::LineConnection::connect(
       loop, owner, net::makeWeakHandlers(it, &Channel::onLine, &Channel::fail));
@@ -76,7 +76,8 @@
 void Channel::checkLiveness(base::BootTime now) {
   if (Failed || Outstanding.empty())
     return;
-  if (now - LastReceivedAt > ReceiveTimeout) {
+  if (kernel::onTimeSilence(Loop.lateness(), LastReceivedAt, now) >
+      ReceiveTimeout) {
     fail();
     return;
   }
--- a/baobabpin/relay/Channel.h
+++ b/baobabpin/relay/Channel.h
@@ -37,19 +37,20 @@
   /// Rolls back a transaction without waiting for the reply.
   void release(std::uint64_t transaction);
   /// Pings an owner from which nothing was received while a reply is
-  /// outstanding, and closes the connection if the owner stays silent. Must be
-  /// called periodically.
+  /// outstanding, and closes the connection if the owner stays silent while
+  /// this node's loop is on time. Must be called periodically.
   void checkLiveness(base::BootTime now);
   bool isOpen() const { return !Failed; }
   /// Returns whether the owner has announced that it is about to stop.
   bool isLeaving() const { return Leaving; }
 
 private:
-  Channel() = default;
+  explicit Channel(kernel::EventLoop &loop) : Loop(loop) {}
   void write(const Request &request);
   void onLine(std::string_view line);
   void fail();
 
+  kernel::EventLoop &Loop;
   std::shared_ptr<net::LineConnection> Connection;
   std::map<std::uint64_t, Callback> Outstanding;
   std::uint64_t NextSequence = 1;
--- a/baobabpin/relay/ChannelTest.cpp
+++ b/baobabpin/relay/ChannelTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 namespace baobabpin::relay {
 namespace {
 
@@ -64,5 +66,26 @@
   }
 }
 
+TEST_CASE("a channel is not closed because this node was late") {
+  // Guards against a node that takes its own lateness for the silence of an
+  // owner.
+  SilentOwner owner;
+  owner.Loop.measureLateness();
+  auto channel = Channel::open(owner.Loop, OwnerEndpoint);
+  Request run;
+  run.Kind = RequestKind::Run;
+  channel->send(run, [](const std::optional<Reply> &) {});
+  owner.runFor(100ms);
+  auto stall =
+      owner.Loop.runAfter(0ms, [] { std::this_thread::sleep_for(700ms); });
+  owner.runFor(10ms);
+  channel->checkLiveness(base::BootClock::now());
+  CHECK(channel->isOpen());
+  // An owner that stays silent while the loop runs on time is still given up.
+  owner.runFor(900ms);
+  channel->checkLiveness(base::BootClock::now());
+  CHECK_FALSE(channel->isOpen());
+}
+
 } // namespace
 } // namespace baobabpin::relay
