--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -1,7 +1,10 @@
 #include "baobabpin/frontend/FrontendService.h"
 
+#include "baobabpin/frontend/ConnectionBound.h"
 #include "platform/Documents.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -35,6 +38,7 @@
 /// New sessions and statements are refused during this last part of the grace
 /// period. It leaves the statements that were accepted before it time to end.
 constexpr milliseconds WorkRefusalMargin{1400};
+constexpr milliseconds DiscardedLogPeriod{1000};
 /// Time reserved for the process to exit before the platform kills it.
 constexpr milliseconds StopMargin{600};
 
@@ -90,6 +94,7 @@
   Context->OnAccessRefused = [this](organisation::Access access, bool opens) {
     countRefusedAccess(access, opens);
   };
+  loop.measureLateness();
   Cluster->subscribe([this] { onClusterChanged(); });
   Readiness = std::make_unique<http::HttpServer>(loop);
   Readiness->handle(
@@ -110,11 +115,8 @@
       loop, Log, [this](const base::GroupName &name) { return group(name); });
   BOOST_LEAF_CHECK(Relay->listen(Settings.Relay));
   Clients = std::make_unique<net::Listener>(loop);
-  BOOST_LEAF_CHECK(Clients->listen(Settings.Clients, [this](int fd) {
-    auto session = std::make_shared<Session>(*Context, fd);
-    Sessions.emplace(session.get(), session);
-    session->start();
-  }));
+  BOOST_LEAF_CHECK(
+      Clients->listen(Settings.Clients, [this](int fd) { acceptClient(fd); }));
   Ticker = loop.runEvery(TickPeriod, [this] { tick(); });
   ReportTimer = loop.runEvery(ReportPeriod, [this] { reportConnections(); });
   IdleTransactionTimer = loop.runEvery(IdleTransactionCheckPeriod, [this] {
@@ -141,6 +143,50 @@
   Metrics.reset();
 }
 
+SessionPtr FrontendService::oldestUnopened() {
+  while (!Unopened.empty()) {
+    auto it = Unopened.front().lock();
+    if (it && it->isUnopened())
+      return it;
+    Unopened.pop_front();
+  }
+  return nullptr;
+}
+
+void FrontendService::acceptClient(int fd) {
+  auto bound =
+      clientConnectionBound(Settings.MaxFileDescriptors,
+                            static_cast<int>(Cluster->view().Nodes.size()));
+  auto oldest = oldestUnopened();
+  if (bound && std::cmp_greater_equal(Sessions.size(), *bound)) {
+    ++Discarded;
+    if (!oldest) {
+      close(fd);
+      return;
+    }
+    oldest->discard();
+  }
+  auto session = std::make_shared<Session>(*Context, fd);
+  Sessions.emplace(session.get(), session);
+  Unopened.push_back(session);
+  session->start();
+}
+
+void FrontendService::logDiscarded(base::BootTime now) {
+  std::uint64_t timeouts = Context->HeaderTimeouts;
+  if (now - DiscardedLoggedAt < DiscardedLogPeriod ||
+      (Discarded == LoggedDiscarded && timeouts == LoggedHeaderTimeouts))
+    return;
+  DiscardedLoggedAt = now;
+  Log.line("clients_discarded")
+      .add("at_bound", static_cast<std::int64_t>(Discarded - LoggedDiscarded))
+      .add("header_timeout",
+           static_cast<std::int64_t>(timeouts - LoggedHeaderTimeouts))
+      .add("connections", static_cast<std::int64_t>(Sessions.size()));
+  LoggedDiscarded = Discarded;
+  LoggedHeaderTimeouts = timeouts;
+}
+
 void FrontendService::removeSession(Session *session) {
   // A member function of the session is still on the call stack, and its
   // connection may have to send the last replies, so it is destroyed later.
@@ -289,6 +335,7 @@
         .add("unreachable_groups",
              static_cast<std::int64_t>(state.UnreachableGroups))
         .add("draining", Draining ? "yes" : "no");
+  logDiscarded(now);
   if (ready || Sessions.empty()) {
     LastReadyAt = now;
     return;
@@ -355,6 +402,10 @@
     auto it = group(name);
     return it ? it->primaryReplyAge() : std::nullopt;
   };
+  hooks.IsUnsure = [this](const base::GroupName &name) {
+    auto it = group(name);
+    return it && it->primaryObservation().Unsure;
+  };
   hooks.DrainPrimary = [this](const base::GroupName &name,
                               std::function<void()> done) {
     if (auto it = group(name))
--- a/baobabpin/frontend/FrontendService.h
+++ b/baobabpin/frontend/FrontendService.h
@@ -56,6 +56,14 @@
   std::shared_ptr<GroupProxy> group(const base::GroupName &name) const;
   void countStatement(const cluster::Route &route, const sql::Reply &reply,
                       std::chrono::nanoseconds took);
+  /// Takes over a client connection. At the bound for connections, the one that
+  /// has been open longest without a session is closed for it.
+  void acceptClient(int fd);
+  /// Returns the oldest session that is not open yet, or null.
+  SessionPtr oldestUnopened();
+  /// Logs how many connections were closed without a session since the last
+  /// time. A flood would write a line for each of them otherwise.
+  void logDiscarded(base::BootTime now);
   void removeSession(Session *session);
   /// Indexes the access keys of a new configuration, and checks the sessions
   /// against them.
@@ -81,6 +89,14 @@
   std::unordered_map<Session *, SessionPtr> Sessions;
   /// Ended sessions, the oldest first, whose last replies may not be sent yet.
   std::deque<std::pair<base::BootTime, SessionPtr>> EndedSessions;
+  /// In the order in which they were accepted. Those that were opened since are
+  /// removed when they come to the front.
+  std::deque<std::weak_ptr<Session>> Unopened;
+  /// The number of connections closed at the bound.
+  std::uint64_t Discarded = 0;
+  std::uint64_t LoggedDiscarded = 0;
+  std::uint64_t LoggedHeaderTimeouts = 0;
+  base::BootTime DiscardedLoggedAt{};
   organisation::HashSecret KeySecret = organisation::drawHashSecret();
   organisation::AuthorizationState Access;
   /// The version of the configuration from which Access was made.
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -53,6 +53,9 @@
   /// Called when the access to a route is refused to a client that opens a
   /// session, or to the statement of an open session.
   std::function<void(organisation::Access, bool opensSession)> OnAccessRefused;
+  /// The number of connections closed because their clients opened no session
+  /// in time.
+  std::uint64_t HeaderTimeouts = 0;
 };
 
 class Session : public std::enable_shared_from_this<Session> {
@@ -60,6 +63,10 @@
   Session(SessionContext &context, int fd);
   void start();
 
+  /// Whether the session is not open yet and has not ended.
+  bool isUnopened() const { return !Opened && !Ended; }
+  /// Closes the connection at once, without a reply.
+  void discard() { end(); }
   /// Aborts the session's transaction if it has been idle for longer than the
   /// configured limit.
   void abortIdleTransactions(base::BootTime now);
