Check a configuration before it is sent

Operators learned of mistakes in a configuration only from its effect: nodes skip entries that they cannot read, keep the first of two routes of a database, take a burst without a rate for no limit, and refuse a key that two organisations hold.

baobabpinctl check-config NEW [--in-force OLD] reports these, other limits that contradict each other, and the changes, as text or JSON, with exit codes for scripts.

--- a/baobabpin/ctl/Options.cpp
+++ b/baobabpin/ctl/Options.cpp
@@ -14,7 +14,7 @@
 
 constexpr double MaxTimeoutSeconds = 86'400;
 
-constexpr std::array<std::pair<const char *, Command>, 8> CommandNames{
+constexpr std::array<std::pair<const char *, Command>, 9> CommandNames{
     std::pair{"apply", Command::Apply},
     std::pair{"get", Command::Get},
     std::pair{"list", Command::List},
@@ -22,7 +22,8 @@
     std::pair{"diff", Command::Diff},
     std::pair{"validate", Command::Validate},
     std::pair{"delete", Command::Delete},
-    std::pair{"timeline", Command::Timeline}};
+    std::pair{"timeline", Command::Timeline},
+    std::pair{"check-config", Command::CheckConfig}};
 
 constexpr const char *CommandHelp = R"(
 Commands:
@@ -34,11 +35,13 @@
   validate -f FILE|DIR...  check resources without changing anything
   delete KIND NAME         delete a resource
   timeline                 print the events of all nodes
+  check-config FILE        check a configuration of the platform before it is
+                           sent; asks no node
 
 Kinds: DatabaseGroup, SessionAdmission, StalenessAllowance, PlannedStop
 
 Exit codes: 0 ok, 1 failed, 2 usage, 3 conflict, 4 not found, 5 unavailable,
-6 timed out
+6 timed out. check-config: 0 no findings, 1 errors, 2 usage, 3 warnings only
 )";
 
 cxxopts::Options describe() {
@@ -54,7 +57,8 @@
       ("key", "Operator's key", text(), "FILE")                             //
       ("clear-text", "Connect without TLS")                                 //
       ("f,file", "Resources in JSON", texts(), "FILE|DIR")                  //
-      ("o,output", "Output format", text(), "json|table")                   //
+      ("o,output", "Output format", text(), "json|table|text")              //
+      ("in-force", "Configuration to compare with", text(), "FILE")         //
       ("until-in-force", "Wait until every node has confirmed")             //
       ("timeout", "Limit of the command, default 30", seconds(), "SECONDS") //
       ("expected-version", "Fail unless this version is stored",
@@ -111,8 +115,14 @@
     most = 1;
   if (options.Action == Command::Watch)
     most = 2;
+  if (options.Action == Command::CheckConfig)
+    least = most = 1;
   if (words.size() - 1 < least || words.size() - 1 > most)
     return usage(words[0] + ": wrong number of arguments");
+  if (options.Action == Command::CheckConfig) {
+    options.ConfigurationFile = words[1];
+    return {};
+  }
   options.Kind = words.size() > 1 ? words[1] : "";
   options.Name = words.size() > 2 ? words[2] : "";
   return {};
@@ -157,8 +167,9 @@
 base::Result<void> readOutput(const cxxopts::ParseResult &parsed,
                               Options &options) {
   std::string format = textOf(parsed, "output");
-  if (!format.empty() && format != "json" && format != "table")
-    return usage("--output: accepted: json or table");
+  std::string plain = options.Action == Command::CheckConfig ? "text" : "table";
+  if (!format.empty() && format != "json" && format != plain)
+    return usage("--output: accepted: json or " + plain);
   options.JsonOutput = format == "json";
   options.HtmlFile = textOf(parsed, "html");
   options.LocalOnly = parsed.count("local") > 0;
@@ -188,6 +199,13 @@
   BOOST_LEAF_CHECK(readWords(textsOf(parsed, "words"), options));
   options.Files = textsOf(parsed, "file");
   BOOST_LEAF_CHECK(checkFiles(options));
+  options.InForceFile = textOf(parsed, "in-force");
+  if (options.Action == Command::CheckConfig) {
+    BOOST_LEAF_CHECK(readOutput(parsed, options));
+    return options;
+  }
+  if (!options.InForceFile.empty())
+    return usage("--in-force: accepted with check-config only");
   BOOST_LEAF_CHECK(readTransport(parsed, options));
   BOOST_LEAF_CHECK(readLimits(parsed, options));
   BOOST_LEAF_CHECK(readOutput(parsed, options));
--- a/baobabpin/ctl/Options.h
+++ b/baobabpin/ctl/Options.h
@@ -20,6 +20,7 @@
   Validate,
   Delete,
   Timeline,
+  CheckConfig,
   Help,
   Version,
 };
@@ -30,6 +31,10 @@
   std::string Name;
   std::vector<std::string> Files;
 
+  /// The configuration to check, and the one in force or empty.
+  std::string ConfigurationFile;
+  std::string InForceFile;
+
   std::vector<std::string> Servers; ///< "IP:PORT", tried in this order.
   std::string CaFile;
   std::string CertificateFile;
--- a/baobabpin/ctl/Run.cpp
+++ b/baobabpin/ctl/Run.cpp
@@ -1,6 +1,7 @@
 #include "baobabpin/ctl/Run.h"
 
 #include "baobabpin/ctl/ChangeCommands.h"
+#include "baobabpin/ctl/CheckCommand.h"
 #include "baobabpin/ctl/Options.h"
 #include "baobabpin/ctl/ReadCommands.h"
 #include "baobabpin/ctl/WatchCommand.h"
@@ -26,6 +27,7 @@
     return runDelete(session);
   case Command::Timeline:
     return runTimeline(session);
+  case Command::CheckConfig:
   case Command::Help:
   case Command::Version:
     break;
@@ -44,6 +46,8 @@
     out << "baobabpinctl " << BAOBABPIN_VERSION << "\n";
     return ExitCode::Ok;
   }
+  if (options.Action == Command::CheckConfig)
+    return runCheckConfig(options, out);
   BOOST_LEAF_AUTO(client, NodeClient::connect(options));
   Session session{options, *client, out, err};
   return dispatch(session);
