Serve work that can meet its target before work that is late

With more work than capacity the queue of a server filled with work that was late before it was served. Work of one priority and organisation that can still meet its target latency now goes before work that cannot. While late work waits, an owner refuses further work that would be late, and entry nodes apply the same rule to the reported wait. Relayed statements carry the time left until their target (target_ms, omitted when unknown).

Weighed: late work last for all organisations together, which would leave an organisation whose work is late without service.

--- a/baobabpin/admission/QueueWait.cpp
+++ b/baobabpin/admission/QueueWait.cpp
@@ -31,4 +31,9 @@
   return 2 * expectedWait > timeLeft;
 }
 
+bool shouldRefuseLate(std::chrono::nanoseconds wait,
+                      std::chrono::nanoseconds targetLeft, bool lateWorkWaits) {
+  return lateWorkWaits && wait > targetLeft;
+}
+
 } // namespace baobabpin::admission
--- a/baobabpin/admission/QueueWait.h
+++ b/baobabpin/admission/QueueWait.h
@@ -46,4 +46,11 @@
 bool shouldRefuse(std::chrono::nanoseconds expectedWait,
                   std::chrono::nanoseconds timeLeft);
 
+/// Whether work that would be done within \p wait misses its target, of which
+/// \p targetLeft is left, and should be refused for that. While other work that
+/// has missed its target waits, capacity is used by work that can still meet
+/// its own, and more late work would wait in vain.
+bool shouldRefuseLate(std::chrono::nanoseconds wait,
+                      std::chrono::nanoseconds targetLeft, bool lateWorkWaits);
+
 } // namespace baobabpin::admission
--- a/baobabpin/admission/QueueWaitTest.cpp
+++ b/baobabpin/admission/QueueWaitTest.cpp
@@ -33,6 +33,12 @@
   CHECK(shouldRefuse(401ms, 800ms));
 }
 
+TEST_CASE("late work is refused only while other late work waits") {
+  CHECK_FALSE(shouldRefuseLate(300ms, 200ms, false));
+  CHECK(shouldRefuseLate(300ms, 200ms, true));
+  CHECK_FALSE(shouldRefuseLate(100ms, 200ms, true));
+}
+
 /// The number of requests of a replayed load by result: served within
 /// Objective, served within TimeLimit, served after their clients gave up, and
 /// refused.
--- a/baobabpin/admission/WaitHints.cpp
+++ b/baobabpin/admission/WaitHints.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/admission/WaitHints.h"
 
+#include "baobabpin/admission/QueueWait.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -25,4 +27,13 @@
   return longest;
 }
 
+bool willBeRefused(std::chrono::nanoseconds wait, const TimeBudget &budget) {
+  if (wait <= std::chrono::nanoseconds(0))
+    return false;
+  if (shouldRefuse(wait, budget.TimeLeft))
+    return true;
+  return budget.TargetLeft && wait > std::max<std::chrono::nanoseconds>(
+                                         *budget.TargetLeft, MinLateWait);
+}
+
 } // namespace baobabpin::admission
--- a/baobabpin/admission/WaitHints.h
+++ b/baobabpin/admission/WaitHints.h
@@ -19,6 +19,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 
 namespace baobabpin::admission {
 
@@ -41,4 +42,21 @@
 std::chrono::nanoseconds rememberedWait(const WaitHints &hints, int priority,
                                         base::BootTime now);
 
+/// What limits when a statement has to be done.
+struct TimeBudget {
+  int Priority = 0;
+  std::chrono::nanoseconds TimeLeft{0};
+  /// The time left until its target latency ends; empty if it is not known.
+  std::optional<std::chrono::nanoseconds> TargetLeft;
+};
+
+/// A wait below this is not a reason to refuse work that has missed its target.
+/// It is the shortest pause after a refusal.
+inline constexpr std::chrono::milliseconds MinLateWait{25};
+
+/// Whether the owner is expected to refuse the work because of \p wait, which
+/// it has reported. An owner that refuses work lets no further work wait that
+/// misses its target.
+bool willBeRefused(std::chrono::nanoseconds wait, const TimeBudget &budget);
+
 } // namespace baobabpin::admission
--- a/baobabpin/admission/WaitHintsTest.cpp
+++ b/baobabpin/admission/WaitHintsTest.cpp
@@ -33,5 +33,15 @@
   CHECK(rememberedWait(hints, 2, Start) == 900ms);
 }
 
+TEST_CASE("hopeless and late work is refused where the owner would refuse it") {
+  CHECK_FALSE(willBeRefused(0ns, {0, -1ms, -1ms}));
+  CHECK(willBeRefused(600ms, {0, 1000ms, {}}));
+  CHECK_FALSE(willBeRefused(400ms, {0, 1000ms, {}}));
+  CHECK(willBeRefused(400ms, {0, 1000ms, 250ms}));
+  CHECK_FALSE(willBeRefused(200ms, {0, 1000ms, 250ms}));
+  // Guards against a report that is never forgotten.
+  CHECK_FALSE(willBeRefused(20ms, {0, 1000ms, -50ms}));
+}
+
 } // namespace
 } // namespace baobabpin::admission
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -159,8 +159,7 @@
 
 ReadChoice GroupProxy::planRead(base::LogPosition wanted,
                                 const admission::Exclusions &exclusions,
-                                int priority,
-                                std::chrono::nanoseconds timeLeft) {
+                                const admission::TimeBudget &budget) {
   auto now = base::BootClock::now();
   auto record = Cluster.view().Groups.find(Name);
   std::vector<PoolPtr> pools;
@@ -187,16 +186,15 @@
     if (behind && !cluster::isTrialDue(progress, now))
       it.ReadyIn = std::max(it.ReadyIn, lagDelay);
     it.Latency = condition.Latency;
-    it.QueueWait = admission::rememberedWait(Waits[id], priority, now);
-    it.Overloaded = it.QueueWait > std::chrono::nanoseconds(0) &&
-                    admission::shouldRefuse(it.QueueWait, timeLeft);
+    it.QueueWait = admission::rememberedWait(Waits[id], budget.Priority, now);
+    it.Overloaded = admission::willBeRefused(it.QueueWait, budget);
     it.Load = pool->load();
     it.Connections = pool->openCount();
     pools.push_back(pool);
     candidates.push_back(it);
     isTrial.push_back(behind);
   }
-  auto plan = cluster::planRead(candidates, timeLeft);
+  auto plan = cluster::planRead(candidates, budget.TimeLeft);
   ReadChoice choice{plan.Step, nullptr, plan.Delay, plan.Overloaded};
   if (plan.Step != cluster::ReadStep::Send)
     return choice;
@@ -212,15 +210,14 @@
                         base::BootClock::now());
 }
 
-bool GroupProxy::isOverloaded(const pooling::ServerPool &pool, int priority,
-                              std::chrono::nanoseconds timeLeft) const {
+bool GroupProxy::isOverloaded(const pooling::ServerPool &pool,
+                              const admission::TimeBudget &budget) const {
   auto it = Waits.find(pool.server().Id);
   if (it == Waits.end())
     return false;
-  auto wait =
-      admission::rememberedWait(it->second, priority, base::BootClock::now());
-  return wait > std::chrono::nanoseconds(0) &&
-         admission::shouldRefuse(wait, timeLeft);
+  auto wait = admission::rememberedWait(it->second, budget.Priority,
+                                        base::BootClock::now());
+  return admission::willBeRefused(wait, budget);
 }
 
 void GroupProxy::recordReply(pooling::ServerPool &pool, base::BootTime sentAt,
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -74,16 +74,16 @@
   /// Plans the next step of a read that needs the log position \p wanted.
   /// Servers in \p exclusions are not asked until their exclusion ends.
   ReadChoice planRead(base::LogPosition wanted,
-                      const admission::Exclusions &exclusions, int priority,
-                      std::chrono::nanoseconds timeLeft);
+                      const admission::Exclusions &exclusions,
+                      const admission::TimeBudget &budget);
   /// Records the wait that the owner of a server's connections reported when it
   /// refused a statement of this priority.
   void recordWait(const pooling::ServerPool &pool, int priority,
                   std::chrono::nanoseconds wait);
   /// Whether the owner of the server's connections is expected to refuse a
   /// statement because of its load.
-  bool isOverloaded(const pooling::ServerPool &pool, int priority,
-                    std::chrono::nanoseconds timeLeft) const;
+  bool isOverloaded(const pooling::ServerPool &pool,
+                    const admission::TimeBudget &budget) const;
 
   /// The channel to the node that owns the server's connections, or null when
   /// this node connects to the server directly.
--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -20,6 +20,7 @@
   run.Route.Priority = request.Priority;
   run.Organisation = request.Organisation;
   run.Route.StatementTimeout = request.TimeLeft;
+  run.Route.TargetLatency = request.TargetLeft;
   run.Arrived = base::BootClock::now();
   run.FreshAsOf = run.Arrived;
   run.Writes = request.Writes;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -181,9 +181,16 @@
   }
 }
 
+admission::TimeBudget StatementRun::timeBudget() const {
+  auto now = base::BootClock::now();
+  admission::TimeBudget budget{Request.Route.Priority, Deadline - now, {}};
+  if (Request.Route.TargetLatency.count() > 0)
+    budget.TargetLeft = Request.Arrived + Request.Route.TargetLatency - now;
+  return budget;
+}
+
 bool StatementRun::endIfOverloaded(const PoolPtr &pool) {
-  if (!Group->isOverloaded(*pool, Request.Route.Priority,
-                           Deadline - base::BootClock::now()))
+  if (!Group->isOverloaded(*pool, timeBudget()))
     return false;
   finish(ErrorCode::TooManyConnections, retryCauseName(RetryCause::Overloaded));
   return true;
@@ -218,8 +225,7 @@
     readFromPrimary();
     return;
   }
-  auto plan = Group->planRead(*WaitFor, Excluded, Request.Route.Priority,
-                              Deadline - base::BootClock::now());
+  auto plan = Group->planRead(*WaitFor, Excluded, timeBudget());
   switch (plan.Step) {
   case cluster::ReadStep::Send:
     Epoch = 0;
@@ -304,6 +310,8 @@
   Waiter->Share = Group->organisationShare(Request.Organisation);
   Waiter->Priority = Request.Route.Priority;
   Waiter->Deadline = Deadline;
+  if (Request.Route.TargetLatency.count() > 0)
+    Waiter->Target = Request.Arrived + Request.Route.TargetLatency;
   Waiter->Values = &Request.Values;
   Waiter->OnGranted = [weak = weak_from_this()](
                           const pooling::ServerConnectionPtr &connection) {
@@ -467,6 +475,11 @@
   request.Priority = Request.Route.Priority;
   RelayedAt = base::BootClock::now();
   request.TimeLeft = std::chrono::floor<milliseconds>(Deadline - RelayedAt);
+  if (Request.Route.TargetLatency.count() > 0)
+    request.TargetLeft =
+        std::max(milliseconds(1), std::chrono::floor<milliseconds>(
+                                      Request.Arrived +
+                                      Request.Route.TargetLatency - RelayedAt));
   request.Writes = Request.Writes;
   request.NeedsPrimary = Request.NeedsPrimary;
   request.Begin = Request.Begin;
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -44,6 +44,7 @@
   /// Runs a read on the primary, because no other server is known to be able to
   /// run it.
   void readFromPrimary();
+  admission::TimeBudget timeBudget() const;
   /// Ends the statement if the owner of the server's connections is expected to
   /// refuse it because of its load.
   bool endIfOverloaded(const PoolPtr &pool);
--- a/baobabpin/pooling/OrganisationPolicy.cpp
+++ b/baobabpin/pooling/OrganisationPolicy.cpp
@@ -1,6 +1,7 @@
 #include "baobabpin/pooling/OrganisationPolicy.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace baobabpin::pooling {
@@ -37,14 +38,14 @@
   bool anyIdle = std::ranges::any_of(
       uses, [](const auto &it) { return it.second.Idle > 0; });
   std::optional<std::size_t> best;
-  std::pair<int, double> bestTurn;
+  std::tuple<int, double, bool> bestTurn;
   for (std::size_t n = 0; n < waiting.size(); ++n) {
     const WaitingWork &it = waiting[n];
     auto use = useOf(uses, it.Organisation);
     bool hasIdle = it.AnyOrganisation ? anyIdle : use.Idle > 0;
     if (!it.MayStart || !hasIdle)
       continue;
-    std::pair turn(it.Priority, use.Turn);
+    std::tuple turn(it.Priority, use.Turn, it.Late);
     if (best && bestTurn <= turn)
       continue;
     best = n;
--- a/baobabpin/pooling/OrganisationPolicy.h
+++ b/baobabpin/pooling/OrganisationPolicy.h
@@ -61,11 +61,14 @@
   bool MayStart = true;
   /// It may use a connection of any organisation.
   bool AnyOrganisation = false;
+  /// It can no longer meet its target latency. Within one organisation and
+  /// priority it is served after work that still can.
+  bool Late = false;
 };
 
 /// Returns the index of the work to serve next: of those that may start and
 /// whose organisation has an idle connection, the highest priority first, then
-/// the organisation with the lowest turn.
+/// the organisation with the lowest turn, then work that is not late.
 std::optional<std::size_t>
 chooseToServe(const std::vector<WaitingWork> &waiting,
               const OrganisationUses &uses);
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -71,8 +71,14 @@
   auto ahead =
       countAhead(waitingWork(), waiter->Organisation, waiter->Priority);
   auto wait = admission::expectedWait(Grants, ahead);
-  if (waiter->Deadline != base::BootTime{} && !Waiting.empty() &&
-      admission::shouldRefuse(wait, waiter->Deadline - now)) {
+  bool hopeless = admission::shouldRefuse(wait, waiter->Deadline - now);
+  if (waiter->Target && !hopeless) {
+    bool lateWorkWaits = std::ranges::any_of(
+        Waiting, [&](const WaiterPtr &it) { return isLate(*it, now); });
+    hopeless = admission::shouldRefuseLate(
+        wait + Condition.Latency, *waiter->Target - now, lateWorkWaits);
+  }
+  if (waiter->Deadline != base::BootTime{} && !Waiting.empty() && hopeless) {
     waiter->ExpectedWait = wait;
     waiter->OnRefused(sql::ErrorCode::TooManyConnections);
     return;
@@ -87,6 +93,10 @@
     refuseAll(sql::ErrorCode::Busy);
 }
 
+bool ServerPool::isLate(const Waiter &waiter, base::BootTime now) const {
+  return waiter.Target && now + Condition.Latency > *waiter.Target;
+}
+
 bool ServerPool::mayGrantNow(const Waiter &waiter, const PoolUse &use) const {
   return waiter.Organisation.empty()
              ? mayGrant(use, Share, waiter.Kind)
@@ -96,10 +106,11 @@
 std::vector<WaitingWork> ServerPool::waitingWork() const {
   std::vector<WaitingWork> list;
   list.reserve(Waiting.size());
-  auto now = use();
+  auto used = use();
+  auto now = base::BootClock::now();
   for (const auto &it : Waiting)
-    list.push_back({it->Organisation, it->Priority, mayGrantNow(*it, now),
-                    it->Kind == WorkKind::Probe});
+    list.push_back({it->Organisation, it->Priority, mayGrantNow(*it, used),
+                    it->Kind == WorkKind::Probe, isLate(*it, now)});
   return list;
 }
 
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace baobabpin::pooling {
@@ -38,6 +39,8 @@
   /// Work that is unlikely to be done by this time is refused at once. Work
   /// without a deadline waits until it is granted or cancelled.
   base::BootTime Deadline{};
+  /// When the target latency of the work ends; empty if it is not known.
+  std::optional<base::BootTime> Target;
   /// The session values that the work needs; a connection that holds exactly
   /// these is preferred. May be null.
   const std::map<std::string, std::string> *Values = nullptr;
@@ -133,6 +136,8 @@
   void refuseAll(sql::ErrorCode code);
   /// Takes an idle connection that \p waiter may use, or returns null.
   ServerConnectionPtr takeIdleFor(const Waiter &waiter);
+  /// Whether the work can no longer meet its target.
+  bool isLate(const Waiter &waiter, base::BootTime now) const;
   bool mayGrantNow(const Waiter &waiter, const PoolUse &use) const;
   /// The waiting work, each entry judged by the limits as if it were the next
   /// to run.
--- a/baobabpin/relay/Messages.cpp
+++ b/baobabpin/relay/Messages.cpp
@@ -68,6 +68,8 @@
   body["reads"] = static_cast<int>(it.Reads);
   body["priority"] = it.Priority;
   body["left_ms"] = it.TimeLeft.count();
+  if (it.TargetLeft.count() > 0)
+    body["target_ms"] = it.TargetLeft.count();
   body["writes"] = it.Writes;
   body["primary"] = it.NeedsPrimary;
   if (it.Begin)
@@ -90,6 +92,7 @@
   it.Priority = body.at("priority").get<int>();
   it.TimeLeft =
       std::chrono::milliseconds(body.at("left_ms").get<std::int64_t>());
+  it.TargetLeft = optionalDuration(body, "target_ms");
   it.Writes = body.at("writes").get<bool>();
   it.NeedsPrimary = body.at("primary").get<bool>();
   if (body.contains("begin"))
--- a/baobabpin/relay/Messages.h
+++ b/baobabpin/relay/Messages.h
@@ -52,6 +52,9 @@
   int Priority = 0;
   /// The time left until the deadline of the statement.
   std::chrono::milliseconds TimeLeft{0};
+  /// The time left until the target latency of the statement ends, at least 1
+  /// ms if it is known. Sent only if it is known, which is when it is not 0.
+  std::chrono::milliseconds TargetLeft{0};
   /// The statement changes data, or commits such a change.
   bool Writes = false;
   /// Only the primary may run the statement.
--- a/baobabpin/relay/MessagesTest.cpp
+++ b/baobabpin/relay/MessagesTest.cpp
@@ -45,6 +45,12 @@
   CHECK(got->Organisation.empty());
   CHECK(encode(sent).find("organisation") == std::string::npos);
 
+  SUBCASE("the target is sent if it is known") {
+    CHECK(encode(sent).find("target_ms") == std::string::npos);
+    sent.TargetLeft = 150ms;
+    CHECK(decodeRequest(encode(sent))->TargetLeft == 150ms);
+  }
+
   SUBCASE("the organisation is sent if there is one") {
     sent.Organisation = "miny420";
     CHECK(decodeRequest(encode(sent))->Organisation == "miny420");
