--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -76,8 +76,14 @@
   auto ahead = countAhead(waitingWork(), waiter->Organisation, waiter->Priority,
                           static_cast<std::size_t>(position));
   auto wait = admission::expectedWait(Grants, ahead);
-  if (waiter->Deadline != base::BootTime{} && !Waiting.empty() &&
-      admission::shouldRefuse(wait, waiter->Deadline - now)) {
+  bool hopeless = admission::shouldRefuse(wait, waiter->Deadline - now);
+  if (waiter->Target && !hopeless) {
+    bool lateWorkWaits = std::ranges::any_of(
+        Waiting, [&](const WaiterPtr &it) { return isLate(*it, now); });
+    hopeless = admission::shouldRefuseLate(
+        wait + Condition.Latency, *waiter->Target - now, lateWorkWaits);
+  }
+  if (waiter->Deadline != base::BootTime{} && !Waiting.empty() && hopeless) {
     waiter->ExpectedWait = wait;
     waiter->OnRefused(sql::ErrorCode::TooManyConnections);
     return;
@@ -89,6 +95,10 @@
     refuseAll(sql::ErrorCode::Busy);
 }
 
+bool ServerPool::isLate(const Waiter &waiter, base::BootTime now) const {
+  return waiter.Target && now + Condition.Latency > *waiter.Target;
+}
+
 bool ServerPool::mayGrantNow(const Waiter &waiter, const PoolUse &use) const {
   ConnectionShare share = Share;
   if (limitsStatements())
@@ -129,10 +139,11 @@
 std::vector<WaitingWork> ServerPool::waitingWork() const {
   std::vector<WaitingWork> list;
   list.reserve(Waiting.size());
-  auto now = use();
+  auto used = use();
+  auto now = base::BootClock::now();
   for (const auto &it : Waiting)
-    list.push_back({it->Organisation, it->Priority, mayGrantNow(*it, now),
-                    it->Kind == WorkKind::Probe});
+    list.push_back({it->Organisation, it->Priority, mayGrantNow(*it, used),
+                    it->Kind == WorkKind::Probe, isLate(*it, now)});
   return list;
 }
 
