--- a/baobabpin/pooling/OverloadTest.cpp
+++ b/baobabpin/pooling/OverloadTest.cpp
@@ -88,7 +88,8 @@
     ++outcome.Offered[static_cast<std::size_t>(it.Work.Priority)];
     auto waiting = view(now);
     auto wait = admission::expectedWait(
-        grants, countAhead(waiting, it.Work.Organisation, it.Work.Priority));
+        grants, countAhead(waiting, it.Work.Organisation, it.Work.Priority,
+                           waiting.size()));
     bool lateWaits = std::ranges::any_of(waiting, &WaitingWork::Late);
     if (!queue.empty() &&
         (admission::shouldRefuse(wait, TimeLimit) ||
