Close a connection for an organisation that has none

Public work that goes on without a pause held all connections to a server: its connections are not limited by the reserve, and those of work that waits are never closed. A connection that becomes free is now closed if its organisation holds several and another waits without any.

Weighed: a reserve for work without organisation. The pool does not know whether the configuration has organisations, and without them it must not hold connections back.

--- a/baobabpin/pooling/OrganisationPolicy.cpp
+++ b/baobabpin/pooling/OrganisationPolicy.cpp
@@ -123,6 +123,12 @@
   return additional + 1 < maximum - reserveOf(maximum);
 }
 
+bool mustYield(const OrganisationUses &uses,
+               const base::OrganisationName &holder,
+               const base::OrganisationName &waiting) {
+  return useOf(uses, waiting).held() == 0 && useOf(uses, holder).held() > 1;
+}
+
 int openLimitFor(int maximum, const base::OrganisationName &organisation,
                  int held) {
   if (organisation.empty() || held == 0)
--- a/baobabpin/pooling/OrganisationPolicy.h
+++ b/baobabpin/pooling/OrganisationPolicy.h
@@ -105,6 +105,13 @@
 bool mayReplace(const OrganisationUses &uses,
                 const base::OrganisationName &organisation, int maximum);
 
+/// Whether a connection of \p holder is closed when its work is done, although
+/// \p holder may have more, because work of \p waiting cannot get the first
+/// connection of that organisation otherwise.
+bool mustYield(const OrganisationUses &uses,
+               const base::OrganisationName &holder,
+               const base::OrganisationName &waiting);
+
 /// Returns how many connections may be open before one more is opened for an
 /// organisation that holds \p held of them. The last ones are reserved for
 /// organisations that hold none.
--- a/baobabpin/pooling/OrganisationPolicyTest.cpp
+++ b/baobabpin/pooling/OrganisationPolicyTest.cpp
@@ -132,6 +132,17 @@
   }
 }
 
+TEST_CASE("an organisation with all connections yields one to another") {
+  // Guards against an organisation without connections that waits as long as
+  // the one that holds all of them has work.
+  OrganisationUses uses{{"busy", {.Busy = 8, .Waiting = 5}},
+                        {"single", {.Busy = 1}},
+                        {"new", {.Waiting = 1}}};
+  CHECK(mustYield(uses, "busy", "new"));
+  CHECK_FALSE(mustYield(uses, "single", "new"));
+  CHECK_FALSE(mustYield(uses, "busy", "single"));
+}
+
 TEST_CASE("refused connections are tried again ever less often") {
   // Guards against attempts that cost a server at its limit as much as accepted
   // connections.
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -183,11 +183,14 @@
 void ServerPool::cancel(const WaiterPtr &waiter) { Waiting.remove(waiter); }
 
 void ServerPool::release(const ServerConnectionPtr &connection) {
+  bool wanted = yieldsConnection(connection->Organisation);
   if (!removeFrom(Busy, connection))
     return;
   bool reusable = connection->isIdle() &&
                   connection->transaction() == sql::TransactionState::Idle;
-  if (!reusable || Closing) {
+  bool yields = reusable && wanted;
+  Events.Replaced += yields ? 1 : 0;
+  if (!reusable || Closing || yields) {
     connection->OnSettled = nullptr;
     connection->close();
   } else {
@@ -245,6 +248,20 @@
     openOne(*organisation);
 }
 
+bool ServerPool::yieldsConnection(
+    const base::OrganisationName &organisation) const {
+  // Nothing yields while a connection is being opened, which may be the one
+  // that is needed.
+  if (Waiting.empty() || !Opening.empty() || !Idle.empty() || !isFull())
+    return false;
+  auto uses = organisationUses();
+  auto work = startableWork();
+  std::erase_if(work, [](const WaitingWork &it) { return it.AnyOrganisation; });
+  auto waiting = chooseToOpenFor(work, uses);
+  return waiting && *waiting != organisation &&
+         mustYield(uses, organisation, *waiting);
+}
+
 bool ServerPool::needsMoreOpen() const {
   auto now = use();
   return std::ranges::any_of(Waiting, [&](const WaiterPtr &it) {
--- a/baobabpin/pooling/ServerPool.h
+++ b/baobabpin/pooling/ServerPool.h
@@ -143,6 +143,9 @@
   /// Opens a connection if waiting work needs one and the limits allow it.
   /// Closes an idle one of another organisation if that makes room for it.
   void openForWaiting(base::BootTime now);
+  /// Whether a connection of \p organisation that becomes free is closed in
+  /// favour of an organisation without any.
+  bool yieldsConnection(const base::OrganisationName &organisation) const;
   /// Whether a transaction without organisation waits that could run if more
   /// connections were open, whether idle or not.
   bool needsMoreOpen() const;
