--- a/baobabpin/quota/Allowance.cpp
+++ b/baobabpin/quota/Allowance.cpp
@@ -138,7 +138,7 @@
   std::optional<base::BootTime> retryAt;
   for (std::size_t n = 0; n < count; ++n) {
     const auto &it = states[n];
-    if (it.Silent || it.NotGrantingUntil > now)
+    if (it.Silent || it.NotGrantingUntil > base::BootTime{})
       continue;
     refusal.LimitReached = true;
     retryAt = std::min(retryAt.value_or(it.EmptyUntil), it.EmptyUntil);
--- a/baobabpin/quota/Allowance.h
+++ b/baobabpin/quota/Allowance.h
@@ -66,7 +66,7 @@
   /// The granter has replied that it has no tokens before this time.
   base::BootTime EmptyUntil{};
   /// The granter has replied that it does not grant for this organisation, and
-  /// is asked again at this time.
+  /// is asked again at this time. Zero if its last reply was a grant.
   base::BootTime NotGrantingUntil{};
 };
 
--- a/baobabpin/quota/AllowanceTest.cpp
+++ b/baobabpin/quota/AllowanceTest.cpp
@@ -90,6 +90,10 @@
   states[0].NotGrantingUntil = at(50ms);
   CHECK(refusalText(refusalOf(states, 2, at(0s))) ==
         "quota_unavailable retry_ms=1000");
+  // Guards against a granter that does not grant, and has not been asked again
+  // yet, being taken for one without tokens.
+  CHECK(refusalText(refusalOf(states, 2, at(60ms))) ==
+        "quota_unavailable retry_ms=1000");
 }
 
 TEST_CASE("without granters all nodes together run less than half the slack") {
--- a/baobabpin/quota/QuotaFleetTest.cpp
+++ b/baobabpin/quota/QuotaFleetTest.cpp
@@ -316,8 +316,10 @@
         it.SilentUntil[index] = Now + 1s;
       } else if (!granted->Grants) {
         state.NotGrantingUntil = now + 250ms;
-      } else if (granted->Retry > 0ns) {
-        state.EmptyUntil = now + granted->Retry;
+      } else {
+        state.NotGrantingUntil = {};
+        if (granted->Retry > 0ns)
+          state.EmptyUntil = now + granted->Retry;
       }
     }
     for (auto &operation : it.Waiting) {
--- a/baobabpin/quota/QuotaService.cpp
+++ b/baobabpin/quota/QuotaService.cpp
@@ -380,9 +380,9 @@
   if (at == it.Granters.end())
     return;
   auto &state = it.States[static_cast<std::size_t>(at - it.Granters.begin())];
-  if (!grant)
-    state.NotGrantingUntil = now + NotGrantingRetryPeriod;
-  else if (grant->Retry.count() > 0)
+  state.NotGrantingUntil =
+      grant ? base::BootTime{} : now + NotGrantingRetryPeriod;
+  if (grant && grant->Retry.count() > 0)
     state.EmptyUntil = now + grant->Retry;
 }
 
