--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -329,9 +329,9 @@
     // Either the server closed an idle connection, or an abandoned connection
     // has received its replies or was closed.
     if (removeFrom(Idle, it)) {
-      it->OnSettled = nullptr;
       if (openCount() == 0)
         pacing::restart(Pace, base::BootClock::now());
+      it->OnSettled = nullptr; // Destroys this closure.
       return;
     }
     if (!removeFrom(Abandoned, it))
