Let granters outlast outages of the store and restarts of the fleet

A granter gave up its role 1.8 s after the store had last confirmed the list of nodes, and began again 3.8 s after its return or after a restart. Each outage of the store, and each loss of power, so refused all organisations with a limit for about 4 s.

The lease is now 6.5 s. A node keeps its role over a gap in which no other can have begun to grant, and takes it up at once after a restart if its earlier run is still on the list. The first start of the whole fleet waits 3.8 s, as before. Weighed: to accept a quorum's confirmation in place of the store's, which may miss a node that the store has registered. The price is that half of the limit of a lost granter stays out of use for 13.2 s.

Also counts a group as out of reach if servers of it were lost and none is known to be reached: owners that had never been used kept a node of a cut-off zone ready until its view was 1.3 s old.

--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -141,9 +141,14 @@
 }
 
 bool GroupProxy::isCutOff() const {
-  return !Pools.empty() && std::ranges::all_of(Pools, [this](const auto &it) {
-    return Channels.isCutOff(it.second->server());
-  });
+  bool lost = false;
+  for (const auto &[id, pool] : Pools) {
+    auto reach = Channels.reachOf(pool->server());
+    if (reach == Reach::Works)
+      return false;
+    lost = lost || reach == Reach::Lost;
+  }
+  return lost;
 }
 
 bool GroupProxy::hasReplacementFor(const base::ServerId &primary) const {
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -64,7 +64,8 @@
   void tick();
 
   PrimaryChoice primary() const;
-  /// Returns whether no server of the group can be reached.
+  /// Returns whether servers of the group were lost, and none is known to be
+  /// reached.
   bool isCutOff() const;
   /// Returns whether the server is draining or has no registration. New reads
   /// are not sent to a replica that is leaving.
--- a/baobabpin/frontend/OwnerChannels.cpp
+++ b/baobabpin/frontend/OwnerChannels.cpp
@@ -58,9 +58,9 @@
                               : ConnectionRole::Standby;
 }
 
-bool OwnerChannels::isCutOff(const cluster::ServerRegistration &server) {
+Reach OwnerChannels::reachOf(const cluster::ServerRegistration &server) {
   if (roleFor(server) != ConnectionRole::NonOwner)
-    return false;
+    return Reach::Works;
   bool lost = false;
   for (const auto &node : ownersOf(server)) {
     auto it = Peers.find(node);
@@ -69,10 +69,10 @@
     const Peer &peer = it->second;
     bool open = peer.Channel && peer.Channel->isOpen();
     if (open && peer.Channel->hasReceived())
-      return false;
+      return Reach::Works;
     lost = lost || peer.Lost || (peer.Channel && !open);
   }
-  return lost;
+  return lost ? Reach::Lost : Reach::Unknown;
 }
 
 bool OwnerChannels::mayConnect(const cluster::ServerRegistration &server) {
--- a/baobabpin/frontend/OwnerChannels.h
+++ b/baobabpin/frontend/OwnerChannels.h
@@ -23,6 +23,13 @@
   NonOwner, ///< Other nodes are owner and standby.
 };
 
+/// Whether a node reaches a server.
+enum class Reach {
+  Works,   ///< By its own connections, or through an owner.
+  Lost,    ///< The channels to its owners were lost.
+  Unknown, ///< No channel to an owner has been used yet.
+};
+
 class OwnerChannels {
 public:
   OwnerChannels(kernel::EventLoop &loop, kernel::LineLog &log,
@@ -40,10 +47,10 @@
   /// Whether this node may connect to the server to run its clients' statements
   /// if no owner can be reached.
   bool mayConnect(const cluster::ServerRegistration &server);
-  /// Returns whether this node relays statements to the server, has lost a
-  /// channel to one of its owners, and has none that has worked since it was
-  /// opened.
-  bool isCutOff(const cluster::ServerRegistration &server);
+  /// Returns whether this node reaches the server. A channel works if anything
+  /// was received on it; until then, a channel that replaces a lost one says
+  /// nothing.
+  Reach reachOf(const cluster::ServerRegistration &server);
 
 private:
   struct Peer {
--- a/baobabpin/quota/GranterRole.cpp
+++ b/baobabpin/quota/GranterRole.cpp
@@ -82,6 +82,18 @@
                      [&](const auto &it) { return it.Node == node; });
 }
 
+std::chrono::milliseconds granterDelay(RunStart start) {
+  switch (start) {
+  case RunStart::Resumed:
+    return std::chrono::milliseconds(0);
+  case RunStart::FirstStart:
+    return FirstStartDelay;
+  case RunStart::Ordinary:
+    break;
+  }
+  return GranterDelay;
+}
+
 void updateRole(GranterRole &role, const RoleSample &sample,
                 base::BootTime now) {
   bool continues = role.EligibleSince && sample.Eligible &&
@@ -89,17 +101,21 @@
                    sample.Era == role.Last.Era &&
                    sample.Capacity == role.Last.Capacity &&
                    // The list may have changed and changed back unseen.
-                   sample.ConfirmedAt - role.Last.ConfirmedAt <= GranterLease;
+                   sample.ConfirmedAt - role.Last.ConfirmedAt <= GranterDelay;
   role.Last = sample;
-  if (now - sample.ConfirmedAt > GranterLease || !sample.Eligible)
+  if (now - sample.ConfirmedAt > GranterDelay || !sample.Eligible) {
     role.EligibleSince.reset();
-  else if (!continues)
-    role.EligibleSince = now;
+    return;
+  }
+  if (continues)
+    return;
+  role.EligibleSince = now;
+  role.Delay = granterDelay(sample.Start);
 }
 
 bool isGranting(const GranterRole &role, base::BootTime confirmedAt,
                 base::BootTime now) {
-  return role.EligibleSince && now - *role.EligibleSince >= GranterDelay &&
+  return role.EligibleSince && now - *role.EligibleSince >= role.Delay &&
          now - confirmedAt <= GranterLease &&
          now - role.Last.ConfirmedAt <= GranterLease;
 }
--- a/baobabpin/quota/GranterRole.h
+++ b/baobabpin/quota/GranterRole.h
@@ -27,6 +27,14 @@
 /// A node that takes the place of another begins more than GranterLease after
 /// that node was replaced on the list. The tokens of the former granter have
 /// expired by then.
+///
+/// A node that loses the store for less than GranterDelay keeps its role: a
+/// node that joined meanwhile has not begun to grant. A node that restarts and
+/// finds its earlier run on the list, not retired and among the first two,
+/// begins at once with an empty bucket: no other node has taken its place, and
+/// the bucket of the earlier run is gone with its process. Excepted is a node
+/// that joined, granted and left again while this one was down; it may grant
+/// for GranterLease after it left, if it is cut off.
 #pragma once
 
 #include "baobabpin/base/BootClock.h"
@@ -41,14 +49,17 @@
 
 namespace baobabpin::quota {
 
-/// Equals the longest lease on primaries: in a large fleet a view reaches an
-/// age of 1.3 s without any fault.
-inline constexpr std::chrono::milliseconds GranterLease = cluster::PrimaryLease;
+/// Outlasts an outage of the store of some seconds, in which no node can grant
+/// more than before.
+inline constexpr std::chrono::milliseconds GranterLease{6500};
 /// Covers the difference of clocks, and the time between two updates of a
 /// role.
 inline constexpr std::chrono::milliseconds GranterMargin{200};
 inline constexpr std::chrono::milliseconds GranterDelay =
     2 * GranterLease + GranterMargin;
+/// The delay while the whole fleet starts for the first time. No node has
+/// granted tokens before, and the list of nodes settles within this time.
+inline constexpr std::chrono::milliseconds FirstStartDelay{3800};
 
 /// The nodes that rank first for each organisation. A change of the list of
 /// nodes costs only the comparisons with the nodes that changed, because there
@@ -83,6 +94,19 @@
   std::map<base::OrganisationName, std::vector<Candidate>> Ranked;
 };
 
+/// What a run of a node knows about the granters before it.
+enum class RunStart {
+  Ordinary,
+  /// The whole fleet starts for the first time.
+  FirstStart,
+  /// An earlier run of the node was on the list, among the first two, when this
+  /// run first read it.
+  Resumed,
+};
+
+/// Returns how long a node waits after it has become eligible.
+std::chrono::milliseconds granterDelay(RunStart start);
+
 /// What a node knows about itself at one moment.
 struct RoleSample {
   /// The node is registered, not retired, and ranks among the first.
@@ -92,11 +116,14 @@
   int Capacity = 0;
   /// The last confirmation of the list of nodes by the store.
   base::BootTime ConfirmedAt{};
+  RunStart Start = RunStart::Ordinary;
 };
 
 /// How long a node has been eligible as a granter.
 struct GranterRole {
   std::optional<base::BootTime> EligibleSince;
+  /// The time from EligibleSince until the node may grant.
+  std::chrono::milliseconds Delay = GranterDelay;
   RoleSample Last;
 };
 
--- a/baobabpin/quota/QuotaService.cpp
+++ b/baobabpin/quota/QuotaService.cpp
@@ -44,6 +44,7 @@
                               responder->json(HttpBadRequest, "{}");
                           });
   Cluster->subscribe([this] { onClusterChanged(); });
+  StartedAt = base::BootClock::now();
   return {};
 }
 
@@ -54,6 +55,7 @@
 }
 
 void QuotaService::onClusterChanged() {
+  noteEarlierRun();
   const auto *config = Cluster->configuration();
   if (!config || !Alive)
     return;
@@ -69,7 +71,7 @@
 }
 
 void QuotaService::adoptLimits(const cluster::Configuration &config) {
-  ConfigVersion = config.Version;
+  bool first = std::exchange(ConfigVersion, config.Version) == 0;
   std::map<base::OrganisationName, cluster::RateLimit> limits;
   if (config.Organisations) {
     for (const auto &[name, it] : *config.Organisations) {
@@ -80,6 +82,8 @@
   removeOthers(limits);
   for (const auto &[name, limit] : limits) {
     auto [it, isNew] = Organisations.try_emplace(name);
+    if (isNew)
+      it->second.Resumes = first && FoundEarlierRun;
     if (isNew)
       it->second.WithoutGranter = startTrickle(Allowed, base::BootClock::now());
     adoptLimit(name, it->second, limit);
@@ -170,6 +174,24 @@
   });
 }
 
+void QuotaService::noteEarlierRun() {
+  const auto &view = Cluster->view();
+  if (ListRead || view.Nodes.empty())
+    return;
+  ListRead = true;
+  auto record = view.Nodes.find(Cluster->self().Node);
+  FoundEarlierRun =
+      record != view.Nodes.end() && !record->second.Value.Retired &&
+      record->second.Value.Incarnation != Cluster->self().Incarnation;
+}
+
+RunStart QuotaService::runStart(const Limited &it, base::BootTime now) const {
+  if (it.Resumes)
+    return RunStart::Resumed;
+  bool first = Settings.FirstStart && now - StartedAt < FirstStartDelay;
+  return first ? RunStart::FirstStart : RunStart::Ordinary;
+}
+
 void QuotaService::updateRoles() {
   for (auto &[name, it] : Organisations)
     updateRole(name, it);
@@ -187,11 +209,15 @@
                       sample.Incarnation == self.Incarnation &&
                       Ranking.isGranter(name, self.Node);
   }
+  it.Resumes = it.Resumes && Ranking.isGranter(name, self.Node);
+  sample.Start = runStart(it, now);
   sample.Era = view.Era;
   sample.ConfirmedAt = view.StoreConfirmedAt;
   quota::updateRole(it.Role, sample, now);
   sample.Eligible = sample.Eligible && Capacities.size() == 1;
   quota::updateRole(it.OnlyNode, sample, now);
+  if (it.Role.EligibleSince)
+    it.Resumes = false;
   if (it.Bucket)
     refill(*it.Bucket, it.BucketShare, now);
   it.BucketShare = grantableShare(it, now);
--- a/baobabpin/quota/QuotaService.h
+++ b/baobabpin/quota/QuotaService.h
@@ -86,6 +86,10 @@
     bool IsAsking = false;
     // As a granter.
     GranterRole Role;
+    /// An earlier run of this node was a granter according to the list that
+    /// this run read first. Reset when the node has become eligible, or ceases
+    /// to rank among the first.
+    bool Resumes = false;
     /// The same for the only registered node, which holds both shares.
     GranterRole OnlyNode;
     std::optional<TokenBucket> Bucket;
@@ -105,6 +109,8 @@
   void removeOthers(
       const std::map<base::OrganisationName, cluster::RateLimit> &limits);
   void adoptNodes();
+  void noteEarlierRun();
+  RunStart runStart(const Limited &it, base::BootTime now) const;
   void updateRoles();
   void updateRole(const base::OrganisationName &name, Limited &it);
   /// Returns what this node may grant now; its rate is 0 if it is no granter.
@@ -136,6 +142,11 @@
   kernel::Kernel *Kernel = nullptr;
   control::ClusterService *Cluster = nullptr;
   std::map<base::OrganisationName, Limited> Organisations;
+  base::BootTime StartedAt{};
+  /// The list of nodes has been read in this run.
+  bool ListRead = false;
+  /// The list that was read first had an earlier run of this node, not retired.
+  bool FoundEarlierRun = false;
   std::uint64_t ConfigVersion = 0;
   GranterRanking Ranking;
   std::map<std::string, int> Capacities;
