Correct what a first reading of the new code found

- a bucket was kept while its node could not grant, and never filled again

Names: fallback quota in place of trickle, grantTokens(), removeUnlimited(), MaxStartLineBytes.

--- a/baobabpin/cluster/ReplicaLag.h
+++ b/baobabpin/cluster/ReplicaLag.h
@@ -14,9 +14,12 @@
 /// \code
 ///   recordReport(progress, history, *reply.Position, refused, sentAt, now);
 ///   ...
-///   if (expectedDelay(progress, history, wanted, now) <= 0ns ||
-///       claimTrial(progress, now))
+///   bool behind = expectedDelay(progress, history, wanted, now) > 0ns;
+///   if (!behind || isTrialDue(progress, now)) {
+///     if (behind)
+///       claimTrial(progress, now);
 ///     send();
+///   }
 /// \endcode
 #pragma once
 
--- a/baobabpin/control/ClusterSync.cpp
+++ b/baobabpin/control/ClusterSync.cpp
@@ -259,9 +259,10 @@
     if (suspected)
       Hooks.OnPrimarySuspected(group);
     auto age = Hooks.PrimaryReplyAge(group);
-    bool vouches = age && *age < cluster::AliveReplyAge;
+    bool confirmsAlive = age && *age < cluster::AliveReplyAge;
     reply.Groups[group] = {age, Hooks.IsFailingOver(group),
-                           !vouches && Hooks.IsUnsure && Hooks.IsUnsure(group)};
+                           !confirmsAlive && Hooks.IsUnsure &&
+                               Hooks.IsUnsure(group)};
   }
   responder->json(200, encode(reply));
 }
--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -18,10 +18,9 @@
 constexpr milliseconds IdleTransactionCheckPeriod{250};
 constexpr milliseconds DrainTickPeriod{50};
 constexpr milliseconds ReportPeriod{1000};
-/// An ended session's connection may take this long to send the last replies.
-/// Without it, replies of sessions that a change of the configuration ended
-/// were lost.
-constexpr milliseconds LastRepliesTime{500};
+/// How long the connection of an ended session is kept so that it can send its
+/// last replies.
+constexpr milliseconds LastReplyTimeout{500};
 /// The owner keeps an idle relayed transaction for this much longer than the
 /// configured limit, so that the node with the client's session aborts it
 /// first.
@@ -319,7 +318,7 @@
 void FrontendService::tick() {
   auto now = base::BootClock::now();
   while (!EndedSessions.empty() &&
-         now - EndedSessions.front().first > LastRepliesTime)
+         now - EndedSessions.front().first > LastReplyTimeout)
     EndedSessions.pop_front();
   Channels->tick(now);
   for (const auto &[name, it] : Groups)
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -299,6 +299,9 @@
       pool->maintain(now);
   }
   auto choice = primary();
+  bool usable = choice.Pool != nullptr;
+  if (!std::exchange(PrimaryUsable, usable) && usable)
+    UsableSince = now;
   bool shortInterval = usesShortProbeInterval(choice);
   if (choice.Pool)
     probePrimary(choice, shortInterval, now);
@@ -484,6 +487,8 @@
   it.Unreachable = server->condition().Unreachable;
   auto now = base::BootClock::now();
   if (auto since = lastPrimaryReply()) {
+    // Without the right to use the primary, this node sends it no probes.
+    since = std::max(*since, UsableSince);
     const auto &lateness = Loop.lateness();
     it.PrimaryReplyAge = kernel::onTimeSilence(lateness, *since, now);
     it.Unsure = kernel::isUnsure(lateness, *since, now, cluster::SuspectAfter);
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -206,6 +206,9 @@
   /// When the owner of the primary's connections last received a reply from the
   /// primary.
   base::BootTime OwnerLastReply{};
+  /// Whether the primary could be used at the latest tick, and since when.
+  bool PrimaryUsable = false;
+  base::BootTime UsableSince{};
   bool ProbeRunning = false;
   pooling::WaiterPtr ProbeWaiter;
   kernel::Timer ResumeTimer;
--- a/baobabpin/frontend/RelayServer.cpp
+++ b/baobabpin/frontend/RelayServer.cpp
@@ -180,8 +180,8 @@
     send(request, std::move(reply));
   }
 
-  /// Cancels a statement, and replies that it has not run. A write that a
-  /// server may have received goes on, and its reply tells the outcome.
+  /// Cancels a statement. A read may have run. A write that a server may have
+  /// received is not cancelled; its reply tells the outcome.
   void cancel(const relay::Request &request) {
     auto it = Runs.find(request.Sequence);
     if (it == Runs.end() || it->second->mayHaveWritten())
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t MaxUnsentBytes = 4u << 20;
 /// The maximum length of the line that opens a session, in bytes. It leaves
 /// room for long names of databases and for long access keys.
-constexpr std::size_t MaxHeaderBytes = 512;
+constexpr std::size_t MaxStartLineBytes = 512;
 /// What is read from a client in one turn of the event loop. With 200 clients
 /// that send without pause, a turn reads less than 1 MB, which a whole core
 /// handles in a few milliseconds.
@@ -50,7 +50,7 @@
       Context.Loop, Fd,
       net::makeWeakHandlers(shared_from_this(), &Session::onLine,
                             &Session::end),
-      MaxHeaderBytes);
+      MaxStartLineBytes);
   Connection->limitReading(BytesPerTurn, LinesPerTurn);
   const auto *config = Context.Cluster.configuration();
   auto timeout =
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -189,11 +189,17 @@
 admission::TimeBudget StatementRun::timeBudget() const {
   auto now = base::BootClock::now();
   admission::TimeBudget budget{Request.Route.Priority, Deadline - now, {}};
-  if (Request.Route.TargetLatency.count() > 0)
-    budget.TargetLeft = Request.Arrived + Request.Route.TargetLatency - now;
+  if (auto it = target())
+    budget.TargetLeft = *it - now;
   return budget;
 }
 
+std::optional<base::BootTime> StatementRun::target() const {
+  if (Request.Route.TargetLatency.count() <= 0)
+    return std::nullopt;
+  return Request.Arrived + Request.Route.TargetLatency;
+}
+
 bool StatementRun::endIfOverloaded(const PoolPtr &pool) {
   if (!Group->isOverloaded(*pool, timeBudget()))
     return false;
@@ -315,8 +321,7 @@
   Waiter->Share = Group->organisationShare(Request.Organisation);
   Waiter->Priority = Request.Route.Priority;
   Waiter->Deadline = Deadline;
-  if (Request.Route.TargetLatency.count() > 0)
-    Waiter->Target = Request.Arrived + Request.Route.TargetLatency;
+  Waiter->Target = target();
   Waiter->Values = &Request.Values;
   Waiter->OnGranted = [weak = weak_from_this()](
                           const pooling::ServerConnectionPtr &connection) {
@@ -481,11 +486,9 @@
   request.Priority = Request.Route.Priority;
   RelayedAt = base::BootClock::now();
   request.TimeLeft = std::chrono::floor<milliseconds>(Deadline - RelayedAt);
-  if (Request.Route.TargetLatency.count() > 0)
-    request.TargetLeft =
-        std::max(milliseconds(1), std::chrono::floor<milliseconds>(
-                                      Request.Arrived +
-                                      Request.Route.TargetLatency - RelayedAt));
+  if (auto it = target())
+    request.TargetLeft = std::max(
+        milliseconds(1), std::chrono::floor<milliseconds>(*it - RelayedAt));
   request.Writes = Request.Writes;
   request.NeedsPrimary = Request.NeedsPrimary;
   request.Begin = Request.Begin;
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -33,8 +33,8 @@
   /// was not sent to a server, and is in doubt or timed out otherwise.
   void giveUp(std::string_view reason);
   /// Ends the statement with \p code because its client may not run it any
-  /// more, unless a server may already have received it. In that case it is not
-  /// repeated.
+  /// more. A write, or a statement sent on a connection of this node, that a
+  /// server may have received keeps its outcome but is not repeated.
   void withdraw(sql::ErrorCode code);
   /// Whether a server may have received the statement, and it may have changed
   /// data.
@@ -49,6 +49,8 @@
   /// run it.
   void readFromPrimary();
   admission::TimeBudget timeBudget() const;
+  /// When the target latency ends; empty if the route has none.
+  std::optional<base::BootTime> target() const;
   /// Ends the statement if the owner of the server's connections is expected to
   /// refuse it because of its load.
   bool endIfOverloaded(const PoolPtr &pool);
--- a/baobabpin/pacing/StatementPace.cpp
+++ b/baobabpin/pacing/StatementPace.cpp
@@ -13,7 +13,8 @@
 /// The same for Usual.
 constexpr int UsualWeight = 16;
 /// The replies of a round for each statement that may be in flight. With one,
-/// exponentially distributed costs alone halved the limit in one round of 80.
+/// the random spread of exponentially distributed costs halves the limit about
+/// once in 80 rounds.
 constexpr int RepliesPerStatement = 2;
 /// The server is silent when it owes a reply for this many times the due
 /// latency of the slowest kind of work. An overloaded server needs twice the
@@ -23,8 +24,8 @@
 /// While other replies are good, a refusal shows an overload only when more
 /// than this share of the replies are refusals. The queue of a server is many
 /// times as long as its slots, so when it is full the statements that are
-/// accepted wait for long. A server that refuses a sixth of the statements at
-/// random was used to 0.62 when each refusal halved the limit.
+/// accepted wait for long. Halving on each refusal would use only 62 % of a
+/// server that refuses one statement in six at random.
 constexpr double MaxRefusedShare = 0.5;
 /// Weight of a reply in the share of refusals: one part in this many.
 constexpr int RefusedWeight = 16;
--- a/baobabpin/quota/Allowance.cpp
+++ b/baobabpin/quota/Allowance.cpp
@@ -13,12 +13,12 @@
 /// The time over which demand is averaged. Demand that moves to another node
 /// must be seen to end well within a second.
 constexpr Seconds DemandTime{0.2};
-/// Demand has ended when no operation arrives for this many times the usual
-/// distance, and MinEndOfDemand. The tokens fetched in advance are then given
-/// back while they can still be used elsewhere. Random arrivals pause for as
-/// long once in e^10 (22,000) times.
-constexpr Seconds EndOfDemand{10};
-constexpr Seconds MinEndOfDemand{0.01};
+/// Demand has ended when no operation has arrived for this many times the mean
+/// interval between operations, plus MinIdleTime. The tokens fetched in advance
+/// are then returned while they can still be used elsewhere. Random arrivals
+/// pause for as long once in e^10 (22,000) times.
+constexpr double IdleIntervals = 10;
+constexpr Seconds MinIdleTime{0.01};
 /// The part of the validity for which tokens are fetched in advance. A token is
 /// thus far from its expiry when it is spent.
 constexpr int PrefetchParts = 4;
@@ -31,7 +31,7 @@
 double demandAt(const Allowance &allowance, base::BootTime now) {
   Seconds idle = std::max(nanoseconds(0), now - allowance.DemandAt);
   if (allowance.Demand > 0 &&
-      idle > EndOfDemand / allowance.Demand + MinEndOfDemand)
+      idle > Seconds(IdleIntervals / allowance.Demand) + MinIdleTime)
     return 0;
   return allowance.Demand * std::exp(-(idle / DemandTime));
 }
@@ -155,23 +155,23 @@
          " retry_ms=" + std::to_string(refusal.RetryDelay.count());
 }
 
-std::size_t trickleNodes(const Tolerance &tolerance) {
+std::size_t fallbackNodes(const Tolerance &tolerance) {
   constexpr double Part = 4;
   constexpr double MaxNodes = 100;
   return static_cast<std::size_t>(
       std::clamp(tolerance.Slack / Part, 0.0, MaxNodes));
 }
 
-Trickle startTrickle(const Tolerance &tolerance, base::BootTime now) {
+FallbackQuota startFallback(const Tolerance &tolerance, base::BootTime now) {
   constexpr int ClockParts = 100;
   return {now + tolerance.Window + tolerance.Window / ClockParts};
 }
 
-bool spendTrickle(Trickle &trickle, std::size_t rank,
-                  const Tolerance &tolerance, base::BootTime now) {
-  if (rank >= trickleNodes(tolerance) || now < trickle.NextAt)
+bool spendFallback(FallbackQuota &fallback, std::size_t rank,
+                   const Tolerance &tolerance, base::BootTime now) {
+  if (rank >= fallbackNodes(tolerance) || now < fallback.NextAt)
     return false;
-  trickle = startTrickle(tolerance, now);
+  fallback = startFallback(tolerance, now);
   return true;
 }
 
--- a/baobabpin/quota/Allowance.h
+++ b/baobabpin/quota/Allowance.h
@@ -94,18 +94,18 @@
 /// nodes in the rank of an organisation may run any, each one in a window. All
 /// together thus run slack / 4 as long as the nodes have the same list. The
 /// bound allows slack / 2, for nodes whose list is not the same.
-struct Trickle {
+struct FallbackQuota {
   base::BootTime NextAt{};
 };
 
 /// Returns the number of nodes that may run operations without a granter.
-std::size_t trickleNodes(const Tolerance &tolerance);
+std::size_t fallbackNodes(const Tolerance &tolerance);
 /// Returns the state of a node that may have run an operation until \p now, in
 /// an earlier run of its process.
-Trickle startTrickle(const Tolerance &tolerance, base::BootTime now);
+FallbackQuota startFallback(const Tolerance &tolerance, base::BootTime now);
 /// Returns whether an operation may run. \p rank is the position of this node
 /// in the rank of the organisation, from 0.
-bool spendTrickle(Trickle &trickle, std::size_t rank,
-                  const Tolerance &tolerance, base::BootTime now);
+bool spendFallback(FallbackQuota &fallback, std::size_t rank,
+                   const Tolerance &tolerance, base::BootTime now);
 
 } // namespace baobabpin::quota
--- a/baobabpin/quota/AllowanceTest.cpp
+++ b/baobabpin/quota/AllowanceTest.cpp
@@ -99,13 +99,13 @@
 TEST_CASE("without granters all nodes together run less than half the slack") {
   int most = 0;
   for (int fleet : {1, 25, 64, 4300}) {
-    std::vector<Trickle> nodes(static_cast<std::size_t>(fleet),
-                               startTrickle(Usual, at(0s)));
+    std::vector<FallbackQuota> nodes(static_cast<std::size_t>(fleet),
+                                     startFallback(Usual, at(0s)));
     int inWindow = 0;
     // The window begins when all of them may run an operation.
     for (auto time = 6s + 0ms; time < 11s; time += 50ms) {
       for (std::size_t rank = 0; rank < nodes.size(); ++rank)
-        inWindow += spendTrickle(nodes[rank], rank, Usual, at(time)) ? 1 : 0;
+        inWindow += spendFallback(nodes[rank], rank, Usual, at(time)) ? 1 : 0;
     }
     most = std::max(most, inWindow);
   }
@@ -114,9 +114,9 @@
 }
 
 TEST_CASE("a restarted node does not run a second operation in the window") {
-  auto trickle = startTrickle(Usual, at(0s));
-  CHECK_FALSE(spendTrickle(trickle, 0, Usual, at(5s)));
-  CHECK(spendTrickle(trickle, 0, Usual, at(5100ms)));
+  auto fallback = startFallback(Usual, at(0s));
+  CHECK_FALSE(spendFallback(fallback, 0, Usual, at(5s)));
+  CHECK(spendFallback(fallback, 0, Usual, at(5100ms)));
 }
 
 TEST_CASE("the decision of a requesting node takes well under a microsecond") {
--- a/baobabpin/quota/QuotaFleetTest.cpp
+++ b/baobabpin/quota/QuotaFleetTest.cpp
@@ -77,7 +77,7 @@
   GranterShare Share;
   std::optional<TokenBucket> Bucket;
   Allowance Tokens;
-  Trickle WithoutGranter;
+  FallbackQuota Fallback;
   std::vector<std::string> Granters;
   GranterStates States;
   std::array<nanoseconds, quota::Granters> SilentUntil{};
@@ -91,7 +91,7 @@
 public:
   Fleet(int nodes, cluster::RateLimit limit, unsigned seed)
       : Limit(limit), Random(seed) {
-    Ranking0.setRankedNodes(std::max(quota::Granters, trickleNodes(Usual)));
+    Ranking0.setRankedNodes(std::max(quota::Granters, fallbackNodes(Usual)));
     for (int n = 0; n < nodes; ++n) {
       auto node = std::make_unique<Node>();
       node->Name = "n" + std::to_string(n);
@@ -127,7 +127,7 @@
     it.Resumes = false;
     it.Bucket.reset();
     it.Tokens = {};
-    it.WithoutGranter = startTrickle(Usual, clock(it));
+    it.Fallback = startFallback(Usual, clock(it));
     it.Granters.clear();
     it.States = {};
     it.SilentUntil = {};
@@ -370,9 +370,9 @@
     auto self =
         std::ranges::find(ranked, it.Name, &GranterRanking::Candidate::Node);
     if (self != ranked.end() &&
-        spendTrickle(it.WithoutGranter,
-                     static_cast<std::size_t>(self - ranked.begin()), Usual,
-                     now))
+        spendFallback(it.Fallback,
+                      static_cast<std::size_t>(self - ranked.begin()), Usual,
+                      now))
       run();
   }
 
--- a/baobabpin/quota/QuotaService.cpp
+++ b/baobabpin/quota/QuotaService.cpp
@@ -29,20 +29,20 @@
                                              Settings.Quota.Overage,
                                              Settings.Quota.Slack},
       Validity(tokenValidity(Allowed)), Log(log) {
-  Ranking.setRankedNodes(std::max(Granters, trickleNodes(Allowed)));
+  Ranking.setRankedNodes(std::max(Granters, fallbackNodes(Allowed)));
 }
 
 base::Result<void> QuotaService::start(kernel::Kernel &kernel) {
   Kernel = &kernel;
   Cluster = &kernel.find<control::ClusterService>("cluster");
-  Cluster->servePeerCalls(QuotaPath,
-                          [this](const http::HttpRequest &call,
-                                 const http::ResponderPtr &responder) {
-                            if (auto request = decodeQuotaRequest(call.Body))
-                              responder->json(HttpOk, encode(answer(*request)));
-                            else
-                              responder->json(HttpBadRequest, "{}");
-                          });
+  Cluster->servePeerCalls(
+      QuotaPath, [this](const http::HttpRequest &call,
+                        const http::ResponderPtr &responder) {
+        if (auto request = decodeQuotaRequest(call.Body))
+          responder->json(HttpOk, encode(grantTokens(*request)));
+        else
+          responder->json(HttpBadRequest, "{}");
+      });
   Cluster->subscribe([this] { onClusterChanged(); });
   StartedAt = base::BootClock::now();
   return {};
@@ -79,20 +79,20 @@
         limits.emplace(name, *it.Limit);
     }
   }
-  removeOthers(limits);
+  removeUnlimited(limits);
   for (const auto &[name, limit] : limits) {
     auto [it, isNew] = Organisations.try_emplace(name);
     if (isNew)
       it->second.Resumes = first && FoundEarlierRun;
     if (isNew)
-      it->second.WithoutGranter = startTrickle(Allowed, base::BootClock::now());
+      it->second.Fallback = startFallback(Allowed, base::BootClock::now());
     adoptLimit(name, it->second, limit);
   }
   if (Organisations.empty()) {
     Ticker.cancel();
     Capacities.clear();
     Ranking = {};
-    Ranking.setRankedNodes(std::max(Granters, trickleNodes(Allowed)));
+    Ranking.setRankedNodes(std::max(Granters, fallbackNodes(Allowed)));
   } else if (!Ticker.isActive()) {
     Ticker = Kernel->loop().runEvery(TickPeriod, [this] { tick(); });
   }
@@ -115,14 +115,17 @@
   it.Limit = limit;
   it.Share = shareOf(limit, Allowed);
   it.BucketShare = grantableShare(it, now);
-  if (it.Bucket)
+  // updateRole() makes a new bucket when the node grants again.
+  if (it.BucketShare.Rate <= 0)
+    it.Bucket.reset();
+  else if (it.Bucket)
     refill(*it.Bucket, it.BucketShare, now);
   // What the granters said holds for the earlier limit.
   for (auto &state : it.States)
     state.EmptyUntil = {};
 }
 
-void QuotaService::removeOthers(
+void QuotaService::removeUnlimited(
     const std::map<base::OrganisationName, cluster::RateLimit> &limits) {
   for (auto it = Organisations.begin(); it != Organisations.end();) {
     if (limits.contains(it->first)) {
@@ -340,7 +343,7 @@
                             const PendingCall &call) {
   auto sentAt = base::BootClock::now();
   if (granter == Settings.Node) {
-    onReply(granter, call, sentAt, answer(call.Request));
+    onReply(granter, call, sentAt, grantTokens(call.Request));
     return;
   }
   auto endpoint = endpointOf(granter);
@@ -470,8 +473,7 @@
     auto self = std::ranges::find(ranked, Settings.Node,
                                   &GranterRanking::Candidate::Node);
     auto rank = static_cast<std::size_t>(self - ranked.begin());
-    if (self != ranked.end() &&
-        spendTrickle(it.WithoutGranter, rank, Allowed, now))
+    if (self != ranked.end() && spendFallback(it.Fallback, rank, Allowed, now))
       return {.Granted = true, .Spent = {}, .RefusalText = {}};
   }
   countRefusal(name, refusal.LimitReached ? "rate_limit" : "unavailable");
@@ -497,7 +499,7 @@
       .Increment();
 }
 
-QuotaReply QuotaService::answer(const QuotaRequest &request) {
+QuotaReply QuotaService::grantTokens(const QuotaRequest &request) {
   QuotaReply reply;
   auto now = base::BootClock::now();
   for (const auto &[name, wanted] : request.Wanted) {
--- a/baobabpin/quota/QuotaService.h
+++ b/baobabpin/quota/QuotaService.h
@@ -78,7 +78,7 @@
     GranterShare Share;
     // As a requesting node.
     Allowance Tokens;
-    Trickle WithoutGranter;
+    FallbackQuota Fallback;
     std::deque<AdmissionWaiterPtr> Waiters;
     std::vector<std::string> Granters;
     GranterStates States;
@@ -106,7 +106,7 @@
   void adoptLimits(const cluster::Configuration &config);
   void adoptLimit(const base::OrganisationName &name, Limited &it,
                   const cluster::RateLimit &limit);
-  void removeOthers(
+  void removeUnlimited(
       const std::map<base::OrganisationName, cluster::RateLimit> &limits);
   void adoptNodes();
   void noteEarlierRun();
@@ -132,7 +132,7 @@
   Admission refuse(const base::OrganisationName &name, Limited &it);
   void countRefusal(const base::OrganisationName &name, const char *reason);
   /// Answers a call of a peer, or of this node itself.
-  QuotaReply answer(const QuotaRequest &request);
+  QuotaReply grantTokens(const QuotaRequest &request);
   std::optional<http::Endpoint> endpointOf(const std::string &node) const;
 
   platform::HostSettings Settings;
