--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -253,7 +253,10 @@
 }
 
 bool Session::refuseWithoutAccess(const sql::Statement &it) {
-  auto access = authorize();
+  // Decided once for the statement: a second decision may differ, because the
+  // configuration ages.
+  Authorized = authorize();
+  const auto &access = Authorized;
   if (access.Result == Access::Denied) {
     denyAndClose();
     return true;
@@ -361,8 +364,7 @@
     }
     Transaction = OpenTransaction{};
     Transaction->Route = *current;
-    Transaction->Organisation =
-        Context.Authorize(*current, AccessKey).Organisation;
+    Transaction->Organisation = Authorized.Organisation;
     Transaction->ReadOnly = it.Kind == Verb::BeginReadOnly;
     Transaction->Began = now;
     Transaction->LastActive = now;
@@ -407,7 +409,7 @@
   }
   request.Route = *current;
   request.Organisation =
-      Transaction ? Transaction->Organisation : authorize().Organisation;
+      Transaction ? Transaction->Organisation : Authorized.Organisation;
   auto group = Context.Group(current->Group);
   if (!group) {
     replyError(ErrorCode::Busy, "unknown group");
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -161,6 +161,8 @@
   std::shared_ptr<net::LineConnection> Connection;
   std::string Database;
   std::string AccessKey;
+  /// The decision about the access of the latest statement.
+  organisation::Authorization Authorized;
   bool Opened = false;
   /// The client was asked to close the session. Its next statement is not run
   /// and resets this flag; other messages are ignored.
