--- a/baobabpin/pacing/StatementPaceTest.cpp
+++ b/baobabpin/pacing/StatementPaceTest.cpp
@@ -298,8 +298,7 @@
 }
 
 TEST_CASE("a server that refuses some work at random is still used") {
-  // Guards against halving the limit so often that healthy slots stay idle. In
-  // the deployment Kocija servers refused one arrival in ten to one in six.
+  // Guards against halving the limit so often that healthy slots stay idle.
   for (double share : {0.1, 0.17}) {
     double lowest = 9;
     for (unsigned seed = 1; seed <= 20; ++seed) {
