Keep the role of granters when the store is restored

A node that was off the list for long enough for another to take its place begins anew in any case, so the restore itself need not end a role. The case of the test that expected a new beginning in each era is replaced by one for a copy that lacks the node.

--- a/baobabpin/quota/GranterRole.cpp
+++ b/baobabpin/quota/GranterRole.cpp
@@ -98,7 +98,6 @@
                 base::BootTime now) {
   bool continues = role.EligibleSince && sample.Eligible &&
                    sample.Incarnation == role.Last.Incarnation &&
-                   sample.Era == role.Last.Era &&
                    sample.Capacity == role.Last.Capacity &&
                    // The list may have changed and changed back unseen.
                    sample.ConfirmedAt - role.Last.ConfirmedAt <= GranterDelay;
--- a/baobabpin/quota/GranterRole.h
+++ b/baobabpin/quota/GranterRole.h
@@ -11,8 +11,7 @@
 ///     because the store may have accepted changes that the quorum does not
 ///     know.
 ///   - It has ranked among the first two without interruption, in one run of
-///     the process and one era of the store, for GranterDelay, which is more
-///     than twice the lease.
+///     the process, for GranterDelay, which is more than twice the lease.
 ///
 /// Then at most two nodes are granters at any time t. Each of them was
 /// registered during all of [t - 2 x lease, t - lease], because each has seen
@@ -35,6 +34,11 @@
 /// the bucket of the earlier run is gone with its process. Excepted is a node
 /// that joined, granted and left again while this one was down; it may grant
 /// for GranterLease after it left, if it is cut off.
+///
+/// A store that is restored from a copy some seconds old does not end a role. A
+/// node that the copy has and that was off the list before begins anew, unless
+/// it was off the list for less than GranterDelay; then no other node has taken
+/// its place yet.
 #pragma once
 
 #include "baobabpin/base/BootClock.h"
@@ -112,7 +116,6 @@
   /// The node is registered, not retired, and ranks among the first.
   bool Eligible = false;
   std::uint64_t Incarnation = 0;
-  std::uint64_t Era = 0;
   int Capacity = 0;
   /// The last confirmation of the list of nodes by the store.
   base::BootTime ConfirmedAt{};
--- a/baobabpin/quota/GranterRoleTest.cpp
+++ b/baobabpin/quota/GranterRoleTest.cpp
@@ -76,7 +76,7 @@
 
 TEST_CASE("a node grants after it has been a granter for long enough") {
   GranterRole role;
-  RoleSample sample{true, 1, 0, 100, at(0s)};
+  RoleSample sample{true, 1, 100, at(0s)};
   std::chrono::milliseconds now{0};
   // Samples the role until the given time, with a confirmed list.
   auto runUntil = [&](std::chrono::milliseconds to) {
@@ -113,15 +113,17 @@
     CHECK_FALSE(runUntil(back + GranterDelay));
     CHECK(runUntil(back + GranterDelay + 100ms));
   }
-  SUBCASE("it begins anew when the store was restored from a copy") {
-    sample.Era = 1;
+  SUBCASE("a restored store that lacks the node ends its role") {
+    sample.Eligible = false;
+    CHECK_FALSE(runUntil(now + 100ms));
+    sample.Eligible = true;
     CHECK_FALSE(runUntil(now + GranterDelay));
   }
 }
 
 TEST_CASE("a run begins as soon as no earlier granter can be left") {
   GranterRole role;
-  RoleSample sample{true, 2, 0, 100, at(0s)};
+  RoleSample sample{true, 2, 100, at(0s)};
   SUBCASE("a node that restarts has kept its place on the list") {
     // Guards against a fleet that refuses all organisations with a limit after
     // a power loss of all hosts.
--- a/baobabpin/quota/QuotaService.cpp
+++ b/baobabpin/quota/QuotaService.cpp
@@ -214,7 +214,6 @@
   }
   it.Resumes = it.Resumes && Ranking.isGranter(name, self.Node);
   sample.Start = runStart(it, now);
-  sample.Era = view.Era;
   sample.ConfirmedAt = view.StoreConfirmedAt;
   quota::updateRole(it.Role, sample, now);
   sample.Eligible = sample.Eligible && Capacities.size() == 1;
