--- a/baobabpin/control/PeerCalls.cpp
+++ b/baobabpin/control/PeerCalls.cpp
@@ -1,6 +1,7 @@
 #include "baobabpin/control/PeerCalls.h"
 
 #include "baobabpin/base/Hash.h"
+#include "baobabpin/control/JsonBody.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,17 +12,6 @@
 
 using nlohmann::json;
 
-/// Runs \p body on the parsed text. Returns nothing for a malformed text.
-template <typename Body>
-auto decode(const std::string &text, Body body)
-    -> std::optional<decltype(body(json()))> {
-  try {
-    return body(json::parse(text));
-  } catch (const json::exception &) {
-    return std::nullopt;
-  }
-}
-
 /// The largest accepted age. An age counts from the start of the host's clock,
 /// and must not overflow as nanoseconds.
 constexpr std::chrono::milliseconds MaxAge = std::chrono::hours(24 * 365 * 100);
@@ -161,7 +151,7 @@
 }
 
 std::optional<SyncRequest> decodeSyncRequest(const std::string &text) {
-  return decode(text, [](const json &it) {
+  return decodeJson(text, [](const json &it) {
     return SyncRequest{it.at("node").get<std::string>(), viewPositionFrom(it),
                        it.at("view_digest").get<std::uint64_t>(),
                        it.at("servers_digest").get<std::uint64_t>(),
@@ -170,7 +160,7 @@
 }
 
 std::optional<SyncReply> decodeSyncReply(const std::string &text) {
-  return decode(text, [](const json &it) {
+  return decodeJson(text, [](const json &it) {
     SyncReply reply;
     reply.View = it.at("view").get<std::string>();
     reply.ViewPosition = viewPositionFrom(it);
@@ -195,7 +185,7 @@
 }
 
 std::optional<RevokeRequest> decodeRevokeRequest(const std::string &text) {
-  return decode(text, [](const json &it) {
+  return decodeJson(text, [](const json &it) {
     return RevokeRequest{
         it.at("group").get<std::string>(), it.at("epoch").get<std::uint64_t>(),
         eraFrom(it, "era"), it.at("change").get<std::string>()};
@@ -203,7 +193,7 @@
 }
 
 std::optional<EvidenceReply> decodeEvidenceReply(const std::string &text) {
-  return decode(text, [](const json &it) {
+  return decodeJson(text, [](const json &it) {
     EvidenceReply reply{it.at("store").get<bool>(), {}};
     for (const auto &[group, evidence] : it.at("groups").items()) {
       GroupEvidence &known = reply.Groups[group];
@@ -218,20 +208,20 @@
 }
 
 std::optional<EvidenceRequest> decodeEvidenceRequest(const std::string &text) {
-  return decode(text, [](const json &it) {
+  return decodeJson(text, [](const json &it) {
     return EvidenceRequest{
         it.at("suspected").get<std::map<base::GroupName, bool>>()};
   });
 }
 
 std::optional<RecordsRequest> decodeRecordsRequest(const std::string &text) {
-  return decode(text, [](const json &it) {
+  return decodeJson(text, [](const json &it) {
     return RecordsRequest{it.at("era").get<std::uint64_t>()};
   });
 }
 
 std::optional<RecordsReply> decodeRecordsReply(const std::string &text) {
-  return decode(text, [](const json &it) {
+  return decodeJson(text, [](const json &it) {
     RecordsReply reply{it.at("knew_earlier_era").get<bool>(), {}};
     for (const auto &[group, known] : it.at("groups").items())
       reply.Groups[group] = {known.at("epoch").get<std::uint64_t>(),
--- a/baobabpin/quota/QuotaMessages.cpp
+++ b/baobabpin/quota/QuotaMessages.cpp
@@ -1,5 +1,7 @@
 #include "baobabpin/quota/QuotaMessages.h"
 
+#include "baobabpin/control/JsonBody.h"
+
 #include <nlohmann/json.hpp>
 
 namespace baobabpin::quota {
@@ -31,17 +33,6 @@
   return milliseconds(parseAmount(it, MaxMilliseconds));
 }
 
-/// Runs \p body on the parsed text. Returns nothing for a malformed text.
-template <typename Body>
-auto decode(const std::string &text, Body body)
-    -> std::optional<decltype(body(json()))> {
-  try {
-    return body(json::parse(text));
-  } catch (const json::exception &) {
-    return std::nullopt;
-  }
-}
-
 /// Returns the object \p name of \p it. items() of other types would yield
 /// indices as names.
 const json &objectAt(const json &it, const char *name) {
@@ -74,7 +65,7 @@
 }
 
 std::optional<QuotaRequest> decodeQuotaRequest(const std::string &text) {
-  return decode(text, [](const json &it) {
+  return control::decodeJson(text, [](const json &it) {
     QuotaRequest request{it.at("node").get<std::string>(), {}};
     for (const auto &[name, wanted] : objectAt(it, "wanted").items()) {
       auto &one = request.Wanted[name];
@@ -88,7 +79,7 @@
 }
 
 std::optional<QuotaReply> decodeQuotaReply(const std::string &text) {
-  return decode(text, [](const json &it) {
+  return control::decodeJson(text, [](const json &it) {
     QuotaReply reply;
     for (const auto &[name, granted] : objectAt(it, "granted").items())
       reply.Granted[name] = {parseTokens(granted.at("tokens")),
