Remove steps that stand twice

- a tick computed the state of readiness twice, which asks all groups
- the end of a session whose key is not valid
- the limit of statements, two tests of the same condition, and a function that only called another one

No behaviour changes.

--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -326,7 +326,7 @@
   auto state = readinessState();
   if (!isIsolated(state))
     LastReachableAt = now;
-  bool ready = isReady();
+  bool ready = frontend::isReady(state);
   if (std::exchange(WasReady, ready) != ready)
     Log.line("readiness")
         .add("ready", ready ? "yes" : "no")
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -275,10 +275,14 @@
 }
 
 void Session::denyAndClose() {
-  Context.Log.line("session_denied").add("database", Database);
-  Context.OnAccessRefused(Access::Denied, false);
   endTransaction();
   replyError(ErrorCode::Denied, organisation::accessName(Access::Denied));
+  closeDenied();
+}
+
+void Session::closeDenied() {
+  Context.Log.line("session_denied").add("database", Database);
+  Context.OnAccessRefused(Access::Denied, false);
   Connection->closeAfterSending();
   end();
 }
@@ -533,10 +537,7 @@
     endTransaction();
   reply(result.Reply);
   if (withdrawn) {
-    Context.Log.line("session_denied").add("database", Database);
-    Context.OnAccessRefused(Access::Denied, false);
-    Connection->closeAfterSending();
-    end();
+    closeDenied();
     return;
   }
   // The access may have changed while a server ran the statement.
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -142,6 +142,8 @@
   bool refuseWithoutAccess(const sql::Statement &it);
   /// Answers that the access key is not valid, and closes the session.
   void denyAndClose();
+  /// Closes the session after the reply that its access key is not valid.
+  void closeDenied();
   /// The result for the route of the transaction or, outside of one, of the
   /// database.
   organisation::Authorization authorize() const;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -229,7 +229,7 @@
   WaitFor = cluster::requiredPosition(Group->history(), need);
   auto choice = Group->primary();
   if (!WaitFor && choice.Pool && !std::exchange(PositionAwaited, true)) {
-    waitForPosition();
+    waitForServer(PositionWaitLimit);
     return;
   }
   if (!WaitFor) {
@@ -298,8 +298,6 @@
   RetryTimer = Loop.runAfter(delay, again);
 }
 
-void StatementRun::waitForPosition() { waitForServer(PositionWaitLimit); }
-
 void StatementRun::acquire(const PoolPtr &pool) {
   ++Attempts;
   Pool = pool;
--- a/baobabpin/frontend/StatementRun.h
+++ b/baobabpin/frontend/StatementRun.h
@@ -61,9 +61,6 @@
   /// Handles the absence of a usable primary: waits for one, or ends with
   /// \p code if this node cannot expect one soon.
   void waitOrRefuse(cluster::PrimaryUse use, sql::ErrorCode code);
-  /// Calls chooseServer() when a log position of the primary is known, or after
-  /// PositionWaitLimit.
-  void waitForPosition();
   void acquire(const PoolPtr &pool);
   void sendThroughOwner(const ChannelPtr &channel, std::uint64_t transactionId);
   void onRelayed(std::optional<relay::Reply> reply);
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -101,8 +101,8 @@
 
 bool ServerPool::mayGrantNow(const Waiter &waiter, const PoolUse &use) const {
   ConnectionShare share = Share;
-  if (limitsStatements())
-    share.Statements = std::min(share.Statements, Pace.Limit);
+  if (auto limit = statementLimit())
+    share.Statements = *limit;
   return waiter.Organisation.empty()
              ? mayGrant(use, share, waiter.Kind)
              : mayGrantToOrganisation(use, share, waiter.Kind);
--- a/baobabpin/quota/QuotaService.cpp
+++ b/baobabpin/quota/QuotaService.cpp
@@ -82,10 +82,10 @@
   removeUnlimited(limits);
   for (const auto &[name, limit] : limits) {
     auto [it, isNew] = Organisations.try_emplace(name);
-    if (isNew)
+    if (isNew) {
       it->second.Resumes = first && FoundEarlierRun;
-    if (isNew)
       it->second.Fallback = startFallback(Allowed, base::BootClock::now());
+    }
     adoptLimit(name, it->second, limit);
   }
   if (Organisations.empty()) {
