--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -538,22 +538,28 @@
 
 
 class World:
-    """A small deployment: a store, a promotion call, one group and nodes."""
+    """A small deployment: a store, a promotion call, groups and nodes."""
 
     def __init__(self, root, folder, record_path, zones, nodes, kind,
-                 stale_ms, lag_s, work_s, slots, max_connections):
+                 stale_ms, lag_s, work_s, slots, max_connections, groups=1):
         self.record = Record(record_path)
-        ports = free_ports(2 + 3 + nodes * 5)
+        ports = free_ports(2 + 3 * groups + nodes * 5)
         store_port, cloud_port = ports[:2]
         self.store = Store(store_port, self.record)
         self.cloud = HttpServer(cloud_port, self.promote)
-        self.group = Group("ledger", self.record, lag_s, work_s, slots,
-                           max_connections)
-        for n in range(3):
-            self.group.add(f"i-{n}{random.randrange(1 << 24):06x}",
-                           ports[2 + n], zones[n % len(zones)])
+        self.groups = []
+        for g in range(groups):
+            group = Group(f"ledger{g + 1}", self.record, lag_s, work_s, slots,
+                          max_connections)
+            for n in range(3):
+                group.add(f"i-{g}{n}{random.randrange(1 << 20):05x}",
+                          ports[2 + 3 * g + n], zones[n % len(zones)])
+            self.groups.append(group)
+        self.group = self.groups[0]
         self.nodes = []
-        node_ports = [ports[5 + 5 * n:10 + 5 * n] for n in range(nodes)]
+        first = 2 + 3 * groups
+        node_ports = [ports[first + 5 * n:first + 5 * n + 5]
+                      for n in range(nodes)]
         seeds = [f"{HOST}:{p[2]}" for p in node_ports[:3]]
         for n in range(nodes):
             self.nodes.append(Node(root, folder, f"front-{n + 1:02d}",
@@ -561,12 +567,14 @@
                                    cloud_port, seeds, node_ports[n]))
         self.config = {
             "Version": 3,
-            "Routes": [{"Name": "r1", "DatabaseName": "db1", "Kind": kind,
+            "Routes": [{"Name": f"r{g}", "DatabaseName": f"db{g}", "Kind": kind,
                         "TimeoutMs": 800, "TargetLatencyMs": 200,
                         "MaxStalenessMs": stale_ms, "Priority": 1,
-                        "Service": "ledger"}],
-            "Services": [{"Name": "ledger", "MaxConnections": max_connections,
-                          "SyncReplicas": 0}],
+                        "Service": f"ledger{g}"}
+                       for g in range(1, groups + 1)],
+            "Services": [{"Name": f"ledger{g}",
+                          "MaxConnections": max_connections, "SyncReplicas": 0}
+                         for g in range(1, groups + 1)],
             "Limits": {"TransactionIdleMs": 3000}}
         self.tasks = []
 
@@ -576,23 +584,27 @@
                          holder=headers.get("x-duty-holder"),
                          token=headers.get("x-fencing-token"))
         await asyncio.sleep(0.004)
-        server = self.group.servers.get(call["Id"])
-        if server is None:
+        group = next((g for g in self.groups if call["Id"] in g.servers), None)
+        if group is None:
             return 409, {}, {}
+        server = group.servers[call["Id"]]
         if not server.primary:
             asyncio.get_running_loop().call_later(0.3, self.lead, server)
         return 200, {}, {}
 
-    def lead(self, server):
-        term = max(s.term for s in self.group.servers.values()) + 1
-        for it in self.group.servers.values():
+    @staticmethod
+    def lead(server):
+        servers = server.group.servers.values()
+        term = max(s.term for s in servers) + 1
+        for it in servers:
             it.primary = it is server
             it.term = term
 
     async def heartbeats(self):
         while True:
-            for name, it in self.group.servers.items():
-                self.store.put_outside("servers/" + name, it.entry())
+            for group in self.groups:
+                for name, it in group.servers.items():
+                    self.store.put_outside("servers/" + name, it.entry())
             await asyncio.sleep(1.2)
 
     async def copies(self):
@@ -605,8 +617,9 @@
     async def start(self):
         await self.store.http.start()
         await self.cloud.start()
-        for it in self.group.servers.values():
-            await it.start()
+        for group in self.groups:
+            for it in group.servers.values():
+                await it.start()
         self.store.put_outside("op/config", self.config)
         self.tasks.append(asyncio.create_task(self.heartbeats()))
         self.tasks.append(asyncio.create_task(self.copies()))
