--- a/review/6/run.py
+++ b/review/6/run.py
@@ -198,6 +198,7 @@
         servers = list(self.group.servers.values())
         primary = next(s for s in servers if s.primary)
         first, second = [s for s in servers if s is not primary]
+        began = now()
         self.record.line("deaf_begins", server=second.id)
         self.deaf.add(second.id)
         asyncio.get_running_loop().call_later(DEAF_S, self.deaf.clear)
@@ -213,7 +214,11 @@
         await asyncio.sleep(0.5)
         node.start()
         self.record.line("start", node=node.name)
-        await asyncio.sleep(0.4)
+        # The primary crashes while the other replica is deaf.
+        while now() < began + DEAF_S - 0.4:
+            await asyncio.sleep(0.1)
+            if await self.world.is_ready(node):
+                break
         self.crash(primary, "dark")
         await asyncio.sleep(PRIMARY_DOWN_S)
         self.down.pop(primary.id)
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -14,10 +14,10 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FLOODED_NODES = 2
-RUDE_CLIENTS = 12
+RUDE_CLIENTS = 20
 # A message is at most 1 MiB.
 QUESTION_BYTES = 1_000_000
-FLOOD_S = 60
+FLOOD_S = 80
 MEMORY_MB = 260
 ENDS_THAT_COUNT = 3
 RESTART_S = 1.0
--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -542,6 +542,9 @@
 
     def __init__(self, root, folder, record_path, zones, nodes, kind,
                  stale_ms, lag_s, work_s, slots, max_connections, groups=1):
+        self.tasks = []
+        self.nodes = []
+        signal.signal(signal.SIGTERM, self.on_sigterm)
         self.record = Record(record_path)
         ports = free_ports(2 + 3 * groups + nodes * 5)
         store_port, cloud_port = ports[:2]
@@ -556,7 +559,6 @@
                           ports[2 + 3 * g + n], zones[n % len(zones)])
             self.groups.append(group)
         self.group = self.groups[0]
-        self.nodes = []
         first = 2 + 3 * groups
         node_ports = [ports[first + 5 * n:first + 5 * n + 5]
                       for n in range(nodes)]
@@ -576,7 +578,6 @@
                           "MaxConnections": max_connections, "SyncReplicas": 0}
                          for g in range(1, groups + 1)],
             "Limits": {"TransactionIdleMs": 3000}}
-        self.tasks = []
 
     async def promote(self, method, target, headers, body):
         call = json.loads(body)
@@ -667,6 +668,11 @@
         self.record.line("store_back", era=self.store.era,
                          revision=self.store.revision)
 
+    def on_sigterm(self, *_):
+        """Ends the nodes too if the script itself is ended."""
+        self.stop()
+        os._exit(2)
+
     def stop(self):
         for it in self.tasks:
             it.cancel()
