Keep a primary that has restarted under another ID

Cause: the coordinator knew the present primary by the ID in the record only. Restarted under another ID it was an ordinary candidate with the longest log. The platform accepts the promotion of its present primary and changes nothing, so the term never rose above the record's, and the same choice was made again every 2.5 s.

Change: a server that leads the term of the record under another ID, as the only one, is the primary of the record. It stays the primary in its term if no other promotion can be pending; otherwise it steps down first, like the primary of the record, and its log counts as that of the old primary. A server whose promotion had no effect comes after the others in the next choice, and promotion_without_effect says what it reports. A coordinator that takes over a failover now also waits for a promotion of its predecessor when the primary is verified.

This works because a term belongs to one log: another server can lead only after a promotion, which a coordinator announces in the record before it requests it.

--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -174,13 +174,33 @@
     eligible = std::move(serving);
   auto rank = [&](const Candidate &it) {
     bool leads = leadsLaterTerm(it, context);
-    return std::tuple(leads, leads ? it.Status.Term : 0, !it.Leaving,
+    return std::tuple(leads, leads ? it.Status.Term : 0,
+                      -it.PromotionsWithoutEffect, !it.Leaving,
                       !it.IsCurrentPrimary, it.Status.Received);
   };
   auto best = std::ranges::max_element(eligible, {}, rank);
   return best == eligible.end() ? std::nullopt : std::optional(*best);
 }
 
+std::optional<Candidate>
+findRestartedPrimary(const std::vector<Candidate> &candidates,
+                     const PromotionContext &context) {
+  // The record of a group's first primary does not know its term.
+  if (context.RecordTerm == 0)
+    return std::nullopt;
+  base::LogPosition start;
+  if (!context.Terms.empty())
+    start = context.Terms.back().Position;
+  auto leads = [&](const Candidate &it) {
+    return it.Status.Role == sql::ServerRole::Primary &&
+           it.Status.Term == context.RecordTerm && it.Status.Received >= start;
+  };
+  auto leader = std::ranges::find_if(candidates, leads);
+  if (std::ranges::count_if(candidates, leads) != 1 || leader->IsCurrentPrimary)
+    return std::nullopt;
+  return *leader;
+}
+
 std::optional<Candidate> findLeader(const std::vector<Candidate> &replies,
                                     std::size_t asked,
                                     base::TermNumber knownTerm) {
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -130,6 +130,9 @@
   /// The server is the current primary. It is chosen only if every other
   /// candidate is leaving or may not lead.
   bool IsCurrentPrimary = false;
+  /// How often the platform accepted the server's promotion in this failover
+  /// without the server leading a later term afterwards.
+  int PromotionsWithoutEffect = 0;
 };
 
 /// What is known of the group whose primary is replaced.
@@ -151,10 +154,10 @@
 };
 
 /// Returns the best candidate for promotion, or nothing if there is none that
-/// may lead. A server that already leads a later term comes first, then
-/// servers that are not leaving, then those other than the current primary.
-/// Among equals, the one that has received the most wins, so that the fewest
-/// commits are lost.
+/// may lead. A server that already leads a later term comes first, then those
+/// with the fewest promotions without effect, then servers that are not
+/// leaving, then those other than the current primary. Among equals, the one
+/// that has received the most wins, so that the fewest commits are lost.
 ///
 /// A server with discarded commits may not lead until it has been rolled back,
 /// which happens when it reaches the primary: reads have been served without
@@ -173,6 +176,14 @@
 std::optional<Candidate> choosePrimary(const std::vector<Candidate> &candidates,
                                        const PromotionContext &context);
 
+/// Returns the server that is the current primary under another ID: it has
+/// restarted with its log, and leads the term of the record. The platform does
+/// not change anything when this server is promoted. Returns nothing if no
+/// server, or more than one, reports to lead that term.
+std::optional<Candidate>
+findRestartedPrimary(const std::vector<Candidate> &candidates,
+                     const PromotionContext &context);
+
 /// Returns the server that leads the group according to the status of its
 /// servers. Returns nothing unless that is certain: all \p asked servers have
 /// replied, one of them leads, and no server knows a later term than it, nor a
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -221,6 +221,54 @@
   }
 }
 
+TEST_CASE("a primary that restarted under another ID is recognised") {
+  // Guards against promotions of the present primary, again and again, that
+  // change nothing (review case 7).
+  using enum sql::ServerRole;
+  auto replica = candidate("a", Replica, 3, {3, 9});
+  auto restarted = candidate("b", Primary, 3, {3, 9});
+  PromotionContext context{.RecordTerm = 3, .Terms = {{3, {2, 5}}}};
+  CHECK(findRestartedPrimary({replica, restarted}, context)->Server == "b");
+
+  SUBCASE("not if it leads another term") {
+    restarted.Status.Term = 2;
+    CHECK_FALSE(findRestartedPrimary({replica, restarted}, context));
+    restarted.Status.Term = 4;
+    CHECK_FALSE(findRestartedPrimary({replica, restarted}, context));
+  }
+  SUBCASE("not if two servers report to lead the term") {
+    auto other = candidate("c", Primary, 3, {3, 9});
+    CHECK_FALSE(findRestartedPrimary({restarted, other}, context));
+  }
+  SUBCASE("not if its log ends before the term began") {
+    restarted.Status.Received = {2, 4};
+    CHECK_FALSE(findRestartedPrimary({restarted}, context));
+  }
+  SUBCASE("not if it is the primary of the record itself") {
+    restarted.IsCurrentPrimary = true;
+    CHECK_FALSE(findRestartedPrimary({replica, restarted}, context));
+  }
+  SUBCASE("not if the term of the record is unknown") {
+    CHECK_FALSE(findRestartedPrimary({restarted}, {.RecordTerm = 0}));
+  }
+}
+
+TEST_CASE("a promotion without effect is not repeated while others may lead") {
+  using enum sql::ServerRole;
+  auto first = candidate("a", Replica, 3, {3, 9});
+  auto second = candidate("b", Replica, 3, {3, 8});
+  CHECK(choosePrimary({first, second}, {.RecordTerm = 3})->Server == "a");
+  first.PromotionsWithoutEffect = 1;
+  CHECK(choosePrimary({first, second}, {.RecordTerm = 3})->Server == "b");
+  second.PromotionsWithoutEffect = 2;
+  CHECK(choosePrimary({first, second}, {.RecordTerm = 3})->Server == "a");
+  SUBCASE("but with SyncReplicas the others must have its commits") {
+    second.PromotionsWithoutEffect = 0;
+    CHECK(choosePrimary({first, second}, {.RecordTerm = 3, .SyncReplicas = 1})
+              ->Server == "a");
+  }
+}
+
 TEST_CASE("commits that an earlier promotion discarded do not reappear") {
   using enum sql::ServerRole;
   // Guards against commits that reappear (lkp-transcribe hunt-1204-39): a
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -287,6 +287,7 @@
         Failovers.contains(group) || changes.size() == platform::MaxKeyChanges)
       continue;
     cluster::GroupRecord record = it->second.Value;
+    Checks[group].InterruptedFailover = record.FailoverInProgress;
     record.Epoch =
         std::max(record.Epoch, cluster::firstNumberOf(Cluster->view().Era));
     record.FailoverInProgress = true;
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -72,7 +72,8 @@
     /// When the current revision of the record was first seen.
     base::BootTime RecordSeen{};
     base::StorePosition RecordPosition;
-    /// A failover was in progress when the store was restored.
+    /// Another coordinator had begun a failover when this node last announced
+    /// one, or when the store was restored.
     bool InterruptedFailover = false;
   };
 
@@ -122,17 +123,27 @@
                    void (FailoverService::*next)(const FailoverPtr &));
   void queryCandidates(const FailoverPtr &failover);
   /// Returns the server as a candidate other than the current primary.
-  cluster::Candidate candidate(const base::ServerId &id,
+  cluster::Candidate candidate(const Failover &failover,
+                               const base::ServerId &id,
                                const sql::ServerStatus &status) const;
   /// Returns what the choice of the new primary depends on, beside the
   /// candidates.
   cluster::PromotionContext promotionContext(const FailoverPtr &failover) const;
   void choose(const FailoverPtr &failover);
+  /// Continues with \p server, as which the primary has restarted. If nothing
+  /// speaks against it, it keeps leading in its term, so that none of its
+  /// commits is lost; otherwise it is replaced.
+  void onRestartedPrimary(const FailoverPtr &failover,
+                          const cluster::Candidate &server);
   /// Asks the servers again, because none may be promoted yet.
   void waitForCandidate(const FailoverPtr &failover,
                         const cluster::PromotionContext &context);
   void promote(const FailoverPtr &failover);
   void waitForPromotion(const FailoverPtr &failover);
+  /// Chooses again, because the server with \p status does not lead although
+  /// the platform has accepted its promotion.
+  void onPromotionWithoutEffect(const FailoverPtr &failover,
+                                const std::optional<sql::ServerStatus> &status);
   void writeResult(const FailoverPtr &failover);
   void logStage(const FailoverPtr &failover, std::string_view stage);
 
--- a/baobabpin/control/FailoverSteps.cpp
+++ b/baobabpin/control/FailoverSteps.cpp
@@ -72,7 +72,7 @@
   Log.line("move")
       .add("group", failover->Group)
       .add("stage", stage)
-      .add("from", failover->Record.Primary)
+      .add("from", failover->Primary)
       .add("to", failover->Target)
       .add("token", static_cast<std::int64_t>(failover->Record.Token))
       .add("planned", failover->PrimaryWasReachable ? "yes" : "no")
@@ -88,6 +88,8 @@
   failover->Group = group;
   failover->Record = Cluster->view().Groups.at(group).Value;
   failover->Era = Cluster->view().Era;
+  failover->Primary = failover->Record.Primary;
+  failover->Continued = Checks[group].InterruptedFailover;
   failover->StartedAt = base::BootClock::now();
   failover->PrimaryWasReachable = !Access.Observe(group).Unreachable;
   Failovers[group] = failover;
@@ -182,10 +184,8 @@
 base::BootTime FailoverService::settledAt(const FailoverPtr &failover) const {
   if (!Cluster->knewEarlierEra())
     return StartedAt + PromotionSettleTime;
-  auto state = Checks.find(failover->Group);
-  bool interrupted = state != Checks.end() && state->second.InterruptedFailover;
   return failover->ChoosingSince +
-         (interrupted ? PromotionSettleTime : milliseconds(0));
+         (failover->Continued ? PromotionSettleTime : milliseconds(0));
 }
 
 void FailoverService::verifyLeader(const FailoverPtr &failover) {
@@ -243,8 +243,8 @@
       return;
     }
     Access.Query(
-        it->Record.Primary, platform::formatStepDown(status->Term + 1),
-        StatusTimeout, [this, weak](const std::optional<sql::Reply> &stepped) {
+        it->Primary, platform::formatStepDown(status->Term + 1), StatusTimeout,
+        [this, weak](const std::optional<sql::Reply> &stepped) {
           FailoverPtr current = weak.lock();
           if (!current || !isCurrent(current))
             return;
@@ -255,15 +255,18 @@
           queryCandidates(current);
         });
   };
-  Access.Query(failover->Record.Primary, platform::formatStatusQuery(),
-               StatusTimeout, onStatus);
+  Access.Query(failover->Primary, platform::formatStatusQuery(), StatusTimeout,
+               onStatus);
 }
 
 cluster::Candidate
-FailoverService::candidate(const base::ServerId &id,
+FailoverService::candidate(const Failover &failover, const base::ServerId &id,
                            const sql::ServerStatus &status) const {
   cluster::Candidate it;
   it.Server = id;
+  if (auto attempts = failover.Attempts.find(id);
+      attempts != failover.Attempts.end())
+    it.PromotionsWithoutEffect = attempts->second;
   it.Status = status;
   it.Leaving = Cluster->leavingSince(id).has_value();
   it.EndsSoon = !Cluster->mayServe(id, MinServingTime);
@@ -274,12 +277,12 @@
   failover->Candidates.clear();
   std::vector<base::ServerId> ids;
   for (const auto &[id, server] : Cluster->servers()) {
-    if (server.Group == failover->Group && id != failover->Record.Primary &&
+    if (server.Group == failover->Group && id != failover->Primary &&
         !failover->RefusedTargets.contains(id))
       ids.push_back(id);
   }
   if (failover->OldStatus) {
-    auto it = candidate(failover->Record.Primary, *failover->OldStatus);
+    auto it = candidate(*failover, failover->Primary, *failover->OldStatus);
     it.IsCurrentPrimary = true;
     failover->Candidates.push_back(it);
   }
@@ -304,7 +307,7 @@
                      return;
                    auto status = statusOf(reply);
                    if (status)
-                     it->Candidates.push_back(candidate(id, *status));
+                     it->Candidates.push_back(candidate(*it, id, *status));
                    if (--it->QueriesOutstanding == 0)
                      (this->*next)(it);
                  });
@@ -319,7 +322,7 @@
   const auto *config = Cluster->configuration();
   if (config && config->Groups.contains(failover->Group))
     context.SyncReplicas = config->Groups.at(failover->Group).SyncReplicas;
-  const base::ServerId &primary = failover->Record.Primary;
+  const base::ServerId &primary = failover->Primary;
   for (const auto &[id, server] : Cluster->servers()) {
     bool heard = std::ranges::find(failover->Candidates, id,
                                    &cluster::Candidate::Server) !=
@@ -327,8 +330,8 @@
     if (server.Group == failover->Group && id != primary && !heard)
       ++context.UnheardReplicas;
   }
-  context.UnheardReplicas +=
-      Cluster->countLostReplicas(failover->Group, primary, failover->StartedAt);
+  context.UnheardReplicas += Cluster->countLostReplicas(
+      failover->Group, failover->Record.Primary, failover->StartedAt);
   return context;
 }
 
@@ -352,6 +355,11 @@
 void FailoverService::choose(const FailoverPtr &failover) {
   failover->RefusedTargets.clear();
   auto context = promotionContext(failover);
+  if (auto restarted =
+          cluster::findRestartedPrimary(failover->Candidates, context)) {
+    onRestartedPrimary(failover, *restarted);
+    return;
+  }
   auto best = cluster::choosePrimary(failover->Candidates, context);
   if (!best) {
     waitForCandidate(failover, context);
@@ -382,6 +390,22 @@
   promote(failover);
 }
 
+void FailoverService::onRestartedPrimary(const FailoverPtr &failover,
+                                         const cluster::Candidate &server) {
+  failover->Primary = server.Server;
+  logStage(failover, "primary_restarted");
+  // No other server can have been promoted, or be about to lead.
+  bool isCertain = !failover->Continued && !failover->Verifying &&
+                   failover->Attempts.empty();
+  if (!isCertain || server.Leaving) {
+    stepDown(failover);
+    return;
+  }
+  failover->Target = server.Server;
+  failover->NewTerm = server.Status.Term;
+  writeResult(failover);
+}
+
 void FailoverService::promote(const FailoverPtr &failover) {
   // A node that was suspended may hold a fencing token that another coordinator
   // has replaced.
@@ -389,6 +413,7 @@
     scheduleStep(failover, StepRetry, &FailoverService::promote);
     return;
   }
+  failover->Attempts.try_emplace(failover->Target, 0);
   Promotions->promote(
       failover->Group, failover->Target, Cluster->self().Node,
       failover->Record.Token,
@@ -417,11 +442,6 @@
 }
 
 void FailoverService::waitForPromotion(const FailoverPtr &failover) {
-  if (base::BootClock::now() - failover->PromotedAt > LeadershipTimeout) {
-    logStage(failover, "not_leading");
-    stepDown(failover);
-    return;
-  }
   Access.Query(
       failover->Target, platform::formatStatusQuery(), StatusTimeout,
       [this, weak = std::weak_ptr<Failover>(failover)](
@@ -430,7 +450,7 @@
         if (!it || !isCurrent(it))
           return;
         auto status = statusOf(reply);
-        bool present = it->Target == it->Record.Primary;
+        bool present = it->Target == it->Primary;
         if (status && cluster::isLeading(*status, it->Record.Term, present)) {
           logStage(it, "leads");
           it->NewTerm = status->Term;
@@ -440,11 +460,32 @@
           writeResult(it);
           return;
         }
-        scheduleStep(it, PromotionPollPeriod,
-                     &FailoverService::waitForPromotion);
+        if (base::BootClock::now() - it->PromotedAt > LeadershipTimeout)
+          onPromotionWithoutEffect(it, status);
+        else
+          scheduleStep(it, PromotionPollPeriod,
+                       &FailoverService::waitForPromotion);
       });
 }
 
+void FailoverService::onPromotionWithoutEffect(
+    const FailoverPtr &failover,
+    const std::optional<sql::ServerStatus> &status) {
+  logStage(failover, "not_leading");
+  auto line = Log.line("promotion_without_effect");
+  line.add("group", failover->Group)
+      .add("server", failover->Target)
+      .add("attempts", ++failover->Attempts[failover->Target])
+      .add("record_term", static_cast<std::int64_t>(failover->Record.Term));
+  if (status)
+    line.add("role",
+             status->Role == sql::ServerRole::Primary ? "primary" : "replica")
+        .add("term", static_cast<std::int64_t>(status->Term));
+  else
+    line.add("role", "unknown");
+  stepDown(failover);
+}
+
 void FailoverService::writeResult(const FailoverPtr &failover) {
   cluster::GroupRecord record = failover->Record;
   cluster::recordPrimary(record, failover->Target, failover->NewTerm,
--- a/baobabpin/control/internal/Failover.h
+++ b/baobabpin/control/internal/Failover.h
@@ -4,6 +4,7 @@
 
 #include "baobabpin/control/FailoverService.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -18,6 +19,12 @@
   std::uint64_t Era = 0;
   /// The primary is only verified, and replaced if its servers do not agree.
   bool Verifying = false;
+  /// Promotions that an earlier coordinator of this failover requested may
+  /// still take effect.
+  bool Continued = false;
+  /// The server that is replaced: the primary of the record, or the server as
+  /// which it has restarted.
+  base::ServerId Primary;
   /// The old primary was reachable at the start.
   bool PrimaryWasReachable = false;
   base::BootTime StartedAt{};
@@ -48,6 +55,9 @@
   /// Servers whose promotion the platform has refused. The next choice leaves
   /// them out, except for the old primary, which stays a candidate.
   std::set<base::ServerId> RefusedTargets;
+  /// The servers whose promotion was requested, and how often the platform
+  /// accepted that without effect.
+  std::map<base::ServerId, int> Attempts;
   base::BootTime PromotedAt{};
   kernel::Timer Next;
 };
