Free the connection of a status query that gets no answer

Callers saw: a group without a primary although its servers answer again.

Cause: FrontendService::query() gave up the wait, but the connection stayed in use for as long as it was open. A coordinator asks up to four times a second, so it had none left to ask with when the servers answered again.

--- a/baobabpin/frontend/FrontendService.cpp
+++ b/baobabpin/frontend/FrontendService.cpp
@@ -448,24 +448,30 @@
   };
   auto deadline = std::make_shared<kernel::Timer>();
   auto waiter = std::make_shared<pooling::Waiter>();
+  auto granted = std::make_shared<pooling::ServerConnectionPtr>();
   waiter->Kind = pooling::WorkKind::Probe;
   waiter->Priority = -1; // Ahead of all statements of clients.
   *deadline = Kernel->loop().runAfter(
-      timeout, [pool, finish, weak = std::weak_ptr(waiter), deadline] {
+      timeout, [pool, finish, granted, weak = std::weak_ptr(waiter), deadline] {
         if (auto it = weak.lock())
           pool->cancel(it);
+        // Otherwise the connection stays in use until a reply arrives.
+        if (auto it = std::exchange(*granted, nullptr))
+          pool->abandon(it);
         finish(std::nullopt);
       });
   waiter->OnRefused = [finish, deadline](sql::ErrorCode) {
     deadline->cancel();
     finish(std::nullopt);
   };
-  waiter->OnGranted = [pool, line, finish, deadline](
+  waiter->OnGranted = [pool, line, finish, granted, deadline](
                           const pooling::ServerConnectionPtr &connection) {
+    *granted = connection;
     connection->run(line, 1,
-                    [pool, connection, finish,
+                    [pool, connection, finish, granted,
                      deadline](const std::vector<sql::Reply> &replies) {
                       deadline->cancel();
+                      granted->reset();
                       pool->recordReply(connection->sentAt(), replies.back());
                       pool->release(connection);
                       finish(replies.back());
