Keep the holders of acknowledged commits in the group's record

Cause: which replicas may hold a commit was derived from the registrations that the process itself had seen. A node that had started after a replica's registration had gone counted no unheard replica, and promoted the only one that replied.

Change: the record of a group with SyncReplicas names all runs of servers that may hold acknowledged commits (cluster/CommitHolders.h). The first monitor adds each run when it registers (control/HolderKeeper.h). A run is forgotten only when the server at its address has its log, or when SyncReplicas other replicas have received what the primary's log had after the registration had gone. A record without the list counts as if any number of replicas was missing. A node keeps what it knows of the list when the store is restored. The record also names the run of the primary: the log of a later run under its ID does not count as the one of the primary. Groups without SyncReplicas cost no write.

This works because the list is in the store before a replica is lost, and because it only becomes shorter when the commits are known to be elsewhere.

--- a/baobabpin/cluster/ClusterView.cpp
+++ b/baobabpin/cluster/ClusterView.cpp
@@ -1,6 +1,7 @@
 #include "baobabpin/cluster/ClusterView.h"
 
 #include "baobabpin/base/Hash.h"
+#include "baobabpin/cluster/CommitHolders.h"
 
 #include <nlohmann/json.hpp>
 
@@ -29,16 +30,37 @@
   return terms;
 }
 
+json toJson(const std::vector<ServerRun> &runs) {
+  json list = json::array();
+  for (const auto &it : runs)
+    list.push_back(
+        {it.Id, it.StartedMs, http::formatEndpoint(it.Address), it.Draining});
+  return list;
+}
+
+std::vector<ServerRun> runsFrom(const json &list) {
+  std::vector<ServerRun> runs;
+  for (const json &it : list)
+    runs.push_back({it.at(0).get<std::string>(), it.at(1).get<std::int64_t>(),
+                    http::parseEndpoint(it.at(2).get<std::string>()),
+                    it.at(3).get<bool>()});
+  return runs;
+}
+
 json toJson(const GroupRecord &it) {
-  return {{"epoch", it.Epoch},
-          {"primary", it.Primary},
-          {"term", it.Term},
-          {"base_term", it.StartPosition.Term},
-          {"base_index", it.StartPosition.Index},
-          {"earlier_terms", toJson(it.EarlierTerms)},
-          {"moving", it.FailoverInProgress},
-          {"mover", it.Coordinator},
-          {"token", it.Token}};
+  json object{{"epoch", it.Epoch},
+              {"primary", it.Primary},
+              {"primary_started_ms", it.PrimaryStartedMs},
+              {"term", it.Term},
+              {"base_term", it.StartPosition.Term},
+              {"base_index", it.StartPosition.Index},
+              {"earlier_terms", toJson(it.EarlierTerms)},
+              {"moving", it.FailoverInProgress},
+              {"mover", it.Coordinator},
+              {"token", it.Token}};
+  if (it.Holders)
+    object["holders"] = toJson(*it.Holders);
+  return object;
 }
 
 json toJson(const NodeRecord &it) {
@@ -57,13 +79,18 @@
 }
 
 GroupRecord groupFrom(const json &it) {
+  // A program version without this field does not know the holders.
+  auto holders = it.find("holders");
   return {.Epoch = it.at("epoch").get<std::uint64_t>(),
           .Primary = it.at("primary").get<std::string>(),
+          .PrimaryStartedMs = it.value("primary_started_ms", std::int64_t{0}),
           .Term = it.at("term").get<base::TermNumber>(),
           .StartPosition = {it.at("base_term").get<base::TermNumber>(),
                             it.at("base_index").get<base::LogIndex>()},
           // A program version without this field remembers no earlier term.
           .EarlierTerms = termsFrom(it.value("earlier_terms", json::array())),
+          .Holders = holders == it.end() ? std::nullopt
+                                         : std::optional(runsFrom(*holders)),
           .FailoverInProgress = it.at("moving").get<bool>(),
           .Coordinator = it.at("mover").get<std::string>(),
           .Token = it.at("token").get<std::uint64_t>()};
@@ -177,20 +204,33 @@
     record.Value = lost.Value;
 }
 
+/// Adds the holders of a record of the same epoch. Two records that otherwise
+/// say the same differ in them after the store was restored.
+bool keepHolders(GroupRecord &record, const GroupRecord &other) {
+  return record.Epoch == other.Epoch && mergeHolders(record, other);
+}
+
 /// Replaces \p view by \p other, a view of a later era.
 void enterEra(ClusterView &view, ClusterView other) {
   std::swap(view, other);
   keepLost(view.Duty, other.Duty);
-  for (const auto &[group, it] : other.Groups)
-    keepLost(view.Groups[group], it);
+  for (const auto &[group, it] : other.Groups) {
+    auto &record = view.Groups[group];
+    keepLost(record, it);
+    keepHolders(record.Value, it.Value);
+  }
 }
 
 /// Adopts the records of groups and of the promotion duty that \p other has in
 /// a newer revision. These records are never deleted.
 bool keepNewerRecords(ClusterView &view, const ClusterView &other) {
   bool changed = keepNewer(view.Duty, other.Duty);
-  for (const auto &[group, it] : other.Groups)
-    changed |= keepNewer(view.Groups[group], it);
+  for (const auto &[group, it] : other.Groups) {
+    auto &record = view.Groups[group];
+    changed |= keepNewer(record, it);
+    if (record.Revision == it.Revision)
+      changed |= keepHolders(record.Value, it.Value);
+  }
   return changed;
 }
 
--- a/baobabpin/cluster/ClusterViewTest.cpp
+++ b/baobabpin/cluster/ClusterViewTest.cpp
@@ -158,6 +158,45 @@
   }
 }
 
+TEST_CASE("a record keeps the holders of commits") {
+  // Guards against the loss of acknowledged commits (LOST): the list of the
+  // servers that may have them must outlive every process.
+  GroupRecord group{.Epoch = 3,
+                    .Primary = "s1",
+                    .PrimaryStartedMs = 8,
+                    .Term = 7,
+                    .Holders = {{{"s1", 8, {"10.0.0.1", 70}, false},
+                                 {"s2", 9, {"10.0.0.1", 71}, true}}}};
+  ClusterView view;
+  CHECK(applyEntry(view, "bp/", entry("group/g", encodeRecord(group), 4)));
+  CHECK(view.Groups["g"].Value == group);
+
+  SUBCASE("but not if an older version has written it") {
+    CHECK(applyEntry(view, "bp/",
+                     entry("group/g",
+                           R"({"epoch":4,"primary":"s1","term":7,"base_term":0,
+"base_index":0,"moving":false,"mover":"","token":1})",
+                           5)));
+    CHECK(view.Groups["g"].Value.Epoch == 4);
+    CHECK_FALSE(view.Groups["g"].Value.Holders);
+    CHECK(view.Groups["g"].Value.PrimaryStartedMs == 0);
+  }
+  SUBCASE("also those that the copy of a restored store does not have") {
+    ClusterView restored;
+    restored.Era = 1;
+    group.Holders->pop_back();
+    CHECK(
+        applyEntry(restored, "bp/", entry("group/g", encodeRecord(group), 2)));
+    CHECK(mergeView(view, restored));
+    REQUIRE(view.Groups["g"].Value.Holders);
+    CHECK(view.Groups["g"].Value.Holders->size() == 2);
+    // The record stays as it is in the store until it has been verified.
+    restored.Revision = 9;
+    CHECK(mergeView(view, restored));
+    CHECK(view.Groups["g"].Value.Holders->size() == 2);
+  }
+}
+
 TEST_CASE("a view of a later era replaces one with a higher revision") {
   // Guards against records that stay as they were, and conditional changes
   // that always conflict, after the store was restored from an older copy.
--- /dev/null
+++ b/baobabpin/cluster/CommitHolders.h
@@ -0,0 +1,71 @@
+/// Tracks which servers may hold the only copies of acknowledged commits.
+///
+/// With SyncReplicas, an acknowledged commit is on the primary and on that many
+/// replicas, but nobody says on which. A failover therefore has to know each
+/// replica that there was, also those that were lost before its coordinator
+/// started. Their list, the holders, is a part of the group's record in the
+/// store (GroupRecord::Holders). A run of a server is added when it registers.
+/// It is removed when its registration has gone and its commits are known to be
+/// elsewhere:
+///
+///   - another server has taken over its address and its log, or
+///   - SyncReplicas other replicas have received the whole log that the primary
+///     had after the registration had gone.
+///
+/// Without the list, any number of replicas may be missing. The list is first
+/// written when SyncReplicas replicas have received the primary's whole log.
+///
+/// \code
+///   auto holders = addPresentRuns(*record.Holders, servers, group);
+///   if (!lostRuns(holders, servers, group).empty())
+///     checkReplicas(); // Writes presentRuns() when enough have caught up.
+/// \endcode
+#pragma once
+
+#include "baobabpin/cluster/Types.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace baobabpin::cluster {
+
+/// All known servers by ID, those of other groups included.
+using ServerMap = std::map<base::ServerId, ServerRegistration>;
+
+/// Returns the runs of the group's servers, sorted by ID.
+std::vector<ServerRun> presentRuns(const ServerMap &servers,
+                                   const base::GroupName &group);
+
+/// Returns \p holders with the group's present runs, and without those that
+/// have passed their log on to a present server.
+std::vector<ServerRun> addPresentRuns(std::vector<ServerRun> holders,
+                                      const ServerMap &servers,
+                                      const base::GroupName &group);
+
+/// Returns the runs in \p holders that are not present and have not passed
+/// their log on to a present server.
+std::vector<ServerRun> lostRuns(const std::vector<ServerRun> &holders,
+                                const ServerMap &servers,
+                                const base::GroupName &group);
+
+/// Whether the run that started at \p startedMs may be the one that \p expected
+/// names. A start of 0 is not known.
+constexpr bool maybeSameRun(std::int64_t startedMs, std::int64_t expected) {
+  return startedMs == 0 || expected == 0 || startedMs == expected;
+}
+
+/// Returns the runs that may hold acknowledged commits and are neither the
+/// primary of \p record nor among the servers that were \p heard, by ID.
+std::vector<ServerRun> unheardRuns(const GroupRecord &record,
+                                   const ServerMap &servers,
+                                   const base::GroupName &group,
+                                   const std::set<base::ServerId> &heard);
+
+/// Adds the holders that \p other names to those of \p record, a record of the
+/// same epoch. A list that is known replaces an unknown one. Returns whether
+/// \p record has changed.
+bool mergeHolders(GroupRecord &record, const GroupRecord &other);
+
+} // namespace baobabpin::cluster
--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -226,9 +226,11 @@
 }
 
 void recordPrimary(GroupRecord &record, const base::ServerId &leader,
-                   base::TermNumber term, base::LogPosition start) {
+                   std::int64_t startedMs, base::TermNumber term,
+                   base::LogPosition start) {
   ++record.Epoch;
   record.Primary = leader;
+  record.PrimaryStartedMs = startedMs;
   record.FailoverInProgress = false;
   record.Coordinator.clear();
   if (term == record.Term)
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -197,11 +197,13 @@
 /// remembers, in ascending order.
 std::vector<TermStart> knownTerms(const GroupRecord &record);
 
-/// Makes \p leader, which leads in \p term, the primary of the record and ends
-/// the failover. \p start is the end of its log when it began to lead; it is
-/// ignored if the term is the one of the record.
+/// Makes \p leader, whose run began at \p startedMs and which leads in \p term,
+/// the primary of the record and ends the failover. \p start is the end of its
+/// log when it began to lead; it is ignored if the term is the one of the
+/// record.
 void recordPrimary(GroupRecord &record, const base::ServerId &leader,
-                   base::TermNumber term, base::LogPosition start);
+                   std::int64_t startedMs, base::TermNumber term,
+                   base::LogPosition start);
 
 /// Returns the end of a leader's log when it began to lead, or nothing if the
 /// status does not show it, because the log has entries of the leader's term.
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -326,22 +326,23 @@
                      .StartPosition = {1, 546},
                      .FailoverInProgress = true,
                      .Coordinator = "n1/5"};
-  recordPrimary(record, "b", 3, {2, 560});
+  recordPrimary(record, "b", 7, 3, {2, 560});
   CHECK(record.Epoch == 5);
   CHECK(record.Primary == "b");
+  CHECK(record.PrimaryStartedMs == 7);
   CHECK_FALSE(record.FailoverInProgress);
   CHECK(record.Coordinator.empty());
   CHECK(knownTerms(record) ==
         std::vector<TermStart>{{2, {1, 546}}, {3, {2, 560}}});
 
   SUBCASE("a primary that is promoted again in its term keeps its beginning") {
-    recordPrimary(record, "b", 3, {3, 600});
+    recordPrimary(record, "b", 7, 3, {3, 600});
     CHECK(record.StartPosition == base::LogPosition{2, 560});
     CHECK(knownTerms(record).size() == 2);
   }
   SUBCASE("the number of terms is limited") {
     for (base::TermNumber term = 4; term < 40; ++term)
-      recordPrimary(record, "a", term, {term - 1, 600 + term});
+      recordPrimary(record, "a", 7, term, {term - 1, 600 + term});
     CHECK(record.EarlierTerms.size() == MaxEarlierTerms);
     CHECK(knownTerms(record).back().Term == 39);
   }
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -112,6 +112,20 @@
 /// registration, so this is checked for each one that another process supplies.
 bool isUsable(const ServerRegistration &it);
 
+/// One run of a database server. A server that starts again under its ID has
+/// none of the commits that it held before.
+struct ServerRun {
+  base::ServerId Id;
+  /// The same as ServerRegistration::StartedMs.
+  std::int64_t StartedMs = 0;
+  http::Endpoint Address;
+  /// The run was draining when it was last seen. Once it has ended, the server
+  /// that takes over its address has its log.
+  bool Draining = false;
+
+  bool operator==(const ServerRun &) const = default;
+};
+
 /// The beginning of a term.
 struct TermStart {
   base::TermNumber Term = 0;
@@ -124,6 +138,8 @@
 
 /// The number of earlier terms that a record remembers.
 inline constexpr std::size_t MaxEarlierTerms = 8;
+/// The number of holders of commits that a record remembers.
+inline constexpr std::size_t MaxHolders = 32;
 
 /// The primary of a group on which all nodes agree. The record is kept in the
 /// store.
@@ -131,6 +147,9 @@
   /// Increases with every change of the primary.
   std::uint64_t Epoch = 0;
   base::ServerId Primary;
+  /// The run of Primary that leads (ServerRegistration::StartedMs), or 0 if it
+  /// is not known.
+  std::int64_t PrimaryStartedMs = 0;
   /// The term in which Primary began to lead. It is 0 for a group's first
   /// primary, whose term is not needed because there is no earlier one.
   base::TermNumber Term = 0;
@@ -138,6 +157,9 @@
   base::LogPosition StartPosition;
   /// The terms before Term whose beginnings are known, in ascending order.
   std::vector<TermStart> EarlierTerms;
+  /// The runs of servers that may hold acknowledged commits
+  /// (cluster/CommitHolders.h). Empty if they are not known.
+  std::optional<std::vector<ServerRun>> Holders;
   /// A failover to another primary is in progress. No node may use Primary.
   bool FailoverInProgress = false;
   /// The node that runs the failover, in the form "node/incarnation".
--- a/baobabpin/control/ClusterService.cpp
+++ b/baobabpin/control/ClusterService.cpp
@@ -19,9 +19,6 @@
 /// For this long, a server that was draining already when this node first saw
 /// it is used.
 constexpr milliseconds UnknownDrainLimit{2000};
-/// The other replicas have received what a replica had within this time after
-/// the end of its run, as long as the primary leads.
-constexpr std::chrono::seconds ReplicaCatchUpLimit{30};
 /// A view older than this is renewed from the usual sync source. Several
 /// renewals fit into the lease.
 constexpr milliseconds RenewAge{250};
@@ -253,12 +250,6 @@
   return base::BootClock::now() + delay < *since + limit;
 }
 
-std::size_t ClusterService::countLostReplicas(const base::GroupName &group,
-                                              const base::ServerId &primary,
-                                              base::BootTime since) const {
-  return Directory.countLostRuns(group, primary, since - ReplicaCatchUpLimit);
-}
-
 bool ClusterService::mayHaveFormerNodes() const {
   return base::BootClock::now() < FormerNodesUntil;
 }
--- a/baobabpin/control/ClusterService.h
+++ b/baobabpin/control/ClusterService.h
@@ -108,12 +108,6 @@
   /// shorter than the one for which the server says that it serves.
   bool mayServe(const base::ServerId &id,
                 std::chrono::milliseconds delay = {}) const;
-  /// Returns the number of replicas of the group, beside \p primary, whose runs
-  /// ended after \p since, or not long before it, with commits that no present
-  /// server has for certain (see ServerDirectory).
-  std::size_t countLostReplicas(const base::GroupName &group,
-                                const base::ServerId &primary,
-                                base::BootTime since) const;
   cluster::PrimaryUse primaryUse(const base::GroupName &group) const;
   std::chrono::nanoseconds viewAge() const;
   /// Returns the time after the last confirmation of the view for which this
--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -47,6 +47,8 @@
   StartedAt = base::BootClock::now();
   Verifier = std::make_unique<RecordVerifier>(kernel.loop(), *Cluster, Log);
   Verifier->OnDoubt = [this](const auto &group) { announce(group); };
+  Holders =
+      std::make_unique<HolderKeeper>(kernel.loop(), *Cluster, Access, Log);
   Promotions =
       std::make_unique<platform::Promotions>(kernel.loop(), PromotionsEndpoint);
   Ticker = kernel.loop().runEvery(TickPeriod, [this] { tick(); });
@@ -74,6 +76,7 @@
     checkGroup(group);
   if (!DuePolls.empty())
     pollPeers();
+  Holders->tick();
 }
 
 void FailoverService::checkGroup(const base::GroupName &group) {
@@ -155,7 +158,9 @@
   bool isFirst = primaries.size() == 1 && Cluster->view().Era == 0;
   std::uint64_t epoch = isFirst ? 1 : 0;
   WritePending = true;
-  cluster::GroupRecord record{.Epoch = epoch, .Primary = primaries.front()};
+  cluster::GroupRecord record{.Epoch = epoch,
+                              .Primary = primaries.front(),
+                              .PrimaryStartedMs = runOf(primaries.front())};
   Cluster->change({{groupKey(group), cluster::encodeRecord(record), 0, false}},
                   [this](const store::StoreReply &) { WritePending = false; });
 }
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -7,6 +7,9 @@
 /// old primary, make the old primary step down, choose a replica, promote it,
 /// wait until it leads, and write the new record.
 ///
+/// With SyncReplicas, a group's record also names the servers that may hold
+/// acknowledged commits (HolderKeeper.h).
+///
 /// After the store was restored from an older copy, the primary of each group
 /// is verified (cluster/ClusterView.h, RecordVerifier.h). If the nodes do not
 /// remember enough, the steps of a failover are taken, except that no server
@@ -15,7 +18,9 @@
 
 #include "baobabpin/cluster/MoveDecision.h"
 #include "baobabpin/control/ClusterService.h"
+#include "baobabpin/control/HolderKeeper.h"
 #include "baobabpin/control/RecordVerifier.h"
+#include "baobabpin/control/ServerAccess.h"
 #include "baobabpin/kernel/Kernel.h"
 #include "baobabpin/kernel/LineLog.h"
 
@@ -29,19 +34,6 @@
 
 namespace baobabpin::control {
 
-/// Access to the servers, provided by the service that holds the connections to
-/// them.
-struct ServerAccess {
-  /// Returns what this node has observed of the primary.
-  std::function<cluster::PrimaryObservation(const base::GroupName &)> Observe;
-  /// Runs a statement of the proxy itself. The callback gets nothing when no
-  /// reply arrives within the timeout.
-  std::function<void(const base::ServerId &, const std::string &line,
-                     std::chrono::milliseconds timeout,
-                     std::function<void(std::optional<sql::Reply>)>)>
-      Query;
-};
-
 class FailoverService : public kernel::Service {
 public:
   FailoverService(http::Endpoint promotions, ServerAccess access,
@@ -122,10 +114,19 @@
                    const std::vector<base::ServerId> &ids,
                    void (FailoverService::*next)(const FailoverPtr &));
   void queryCandidates(const FailoverPtr &failover);
+  /// Returns when the present run of the server began, or 0 if it is unknown.
+  std::int64_t runOf(const base::ServerId &id) const;
+  /// Returns whether the primary has started again under its ID, so that its
+  /// present run does not have the commits of the one that led.
+  bool hasRestarted(const Failover &failover) const;
   /// Returns the server as a candidate other than the current primary.
   cluster::Candidate candidate(const Failover &failover,
                                const base::ServerId &id,
                                const sql::ServerStatus &status) const;
+  /// Returns the runs of servers that may hold acknowledged commits and whose
+  /// status is not known.
+  std::vector<cluster::ServerRun>
+  unheardRuns(const FailoverPtr &failover) const;
   /// Returns what the choice of the new primary depends on, beside the
   /// candidates.
   cluster::PromotionContext promotionContext(const FailoverPtr &failover) const;
@@ -152,6 +153,7 @@
   http::Endpoint PromotionsEndpoint;
   std::unique_ptr<platform::Promotions> Promotions;
   std::unique_ptr<RecordVerifier> Verifier;
+  std::unique_ptr<HolderKeeper> Holders;
   kernel::Kernel *Kernel = nullptr;
   ClusterService *Cluster = nullptr;
   std::map<base::GroupName, GroupCheckState> Checks;
--- a/baobabpin/control/FailoverSteps.cpp
+++ b/baobabpin/control/FailoverSteps.cpp
@@ -14,7 +14,6 @@
 
 constexpr milliseconds RevokeTimeout{500};
 constexpr milliseconds RevokeRetry{100};
-constexpr milliseconds StatusTimeout{250};
 constexpr milliseconds StepRetry{50};
 constexpr milliseconds PromotionPollPeriod{30};
 /// If the promoted server does not lead within this time, the coordinator
@@ -39,14 +38,6 @@
 /// promotes a server.
 constexpr milliseconds TokenMargin{500};
 
-/// Returns the reported status, or nothing when the report is missing or
-/// incomplete.
-std::optional<sql::ServerStatus> statusOf(const std::optional<sql::Reply> &it) {
-  if (!it || !it->succeeded() || it->Rows.empty())
-    return std::nullopt;
-  return platform::parseStatusRow(it->Rows.front());
-}
-
 } // namespace
 
 bool FailoverService::isCurrent(const FailoverPtr &failover) const {
@@ -89,6 +80,7 @@
   failover->Record = Cluster->view().Groups.at(group).Value;
   failover->Era = Cluster->view().Era;
   failover->Primary = failover->Record.Primary;
+  failover->PrimaryStartedMs = failover->Record.PrimaryStartedMs;
   failover->Continued = Checks[group].InterruptedFailover;
   failover->StartedAt = base::BootClock::now();
   failover->PrimaryWasReachable = !Access.Observe(group).Unreachable;
@@ -231,6 +223,11 @@
 
 void FailoverService::stepDown(const FailoverPtr &failover) {
   failover->ChoosingSince = base::BootClock::now();
+  if (hasRestarted(*failover)) {
+    failover->OldStatus.reset();
+    queryCandidates(failover);
+    return;
+  }
   std::weak_ptr<Failover> weak = failover;
   auto onStatus = [this, weak](const std::optional<sql::Reply> &reply) {
     FailoverPtr it = weak.lock();
@@ -259,6 +256,16 @@
                onStatus);
 }
 
+std::int64_t FailoverService::runOf(const base::ServerId &id) const {
+  auto it = Cluster->servers().find(id);
+  return it == Cluster->servers().end() ? 0 : it->second.StartedMs;
+}
+
+bool FailoverService::hasRestarted(const Failover &failover) const {
+  return !cluster::maybeSameRun(runOf(failover.Primary),
+                                failover.PrimaryStartedMs);
+}
+
 cluster::Candidate
 FailoverService::candidate(const Failover &failover, const base::ServerId &id,
                            const sql::ServerStatus &status) const {
@@ -275,13 +282,15 @@
 
 void FailoverService::queryCandidates(const FailoverPtr &failover) {
   failover->Candidates.clear();
+  bool restarted = hasRestarted(*failover);
   std::vector<base::ServerId> ids;
   for (const auto &[id, server] : Cluster->servers()) {
-    if (server.Group == failover->Group && id != failover->Primary &&
+    if (server.Group == failover->Group &&
+        (restarted || id != failover->Primary) &&
         !failover->RefusedTargets.contains(id))
       ids.push_back(id);
   }
-  if (failover->OldStatus) {
+  if (failover->OldStatus && !restarted) {
     auto it = candidate(*failover, failover->Primary, *failover->OldStatus);
     it.IsCurrentPrimary = true;
     failover->Candidates.push_back(it);
@@ -314,6 +323,21 @@
   }
 }
 
+std::vector<cluster::ServerRun>
+FailoverService::unheardRuns(const FailoverPtr &failover) const {
+  std::set<base::ServerId> heard;
+  for (const auto &it : failover->Candidates)
+    heard.insert(it.Server);
+  auto runs = cluster::unheardRuns(failover->Record, Cluster->servers(),
+                                   failover->Group, heard);
+  // A primary that has restarted with its log is not a replica either.
+  std::erase_if(runs, [&](const cluster::ServerRun &it) {
+    return it.Id == failover->Primary &&
+           cluster::maybeSameRun(it.StartedMs, failover->PrimaryStartedMs);
+  });
+  return runs;
+}
+
 cluster::PromotionContext
 FailoverService::promotionContext(const FailoverPtr &failover) const {
   cluster::PromotionContext context{.RecordTerm = failover->Record.Term,
@@ -322,16 +346,11 @@
   const auto *config = Cluster->configuration();
   if (config && config->Groups.contains(failover->Group))
     context.SyncReplicas = config->Groups.at(failover->Group).SyncReplicas;
-  const base::ServerId &primary = failover->Primary;
-  for (const auto &[id, server] : Cluster->servers()) {
-    bool heard = std::ranges::find(failover->Candidates, id,
-                                   &cluster::Candidate::Server) !=
-                 failover->Candidates.end();
-    if (server.Group == failover->Group && id != primary && !heard)
-      ++context.UnheardReplicas;
-  }
-  context.UnheardReplicas += Cluster->countLostReplicas(
-      failover->Group, failover->Record.Primary, failover->StartedAt);
+  context.UnheardReplicas = unheardRuns(failover).size();
+  // Any number of replicas may have been lost.
+  if (!failover->Record.Holders)
+    context.UnheardReplicas +=
+        static_cast<std::size_t>(std::max(0, context.SyncReplicas));
   return context;
 }
 
@@ -340,12 +359,17 @@
   auto now = base::BootClock::now();
   if (now - failover->WaitLoggedAt > WaitLogPeriod) {
     failover->WaitLoggedAt = now;
+    std::string unheard;
+    for (const auto &it : unheardRuns(failover))
+      unheard += (unheard.empty() ? "" : ",") + it.Id;
     Log.line("move_waits")
         .add("group", failover->Group)
         .add("candidates",
              static_cast<std::int64_t>(failover->Candidates.size()))
         .add("unheard_replicas",
              static_cast<std::int64_t>(context.UnheardReplicas))
+        .add("unheard", unheard.empty() ? "none" : unheard)
+        .add("holders", failover->Record.Holders ? "known" : "unknown")
         .add("sync_replicas", context.SyncReplicas)
         .add("elapsed_ms", now - failover->StartedAt);
   }
@@ -393,6 +417,7 @@
 void FailoverService::onRestartedPrimary(const FailoverPtr &failover,
                                          const cluster::Candidate &server) {
   failover->Primary = server.Server;
+  failover->PrimaryStartedMs = runOf(server.Server);
   logStage(failover, "primary_restarted");
   // No other server can have been promoted, or be about to lead.
   bool isCertain = !failover->Continued && !failover->Verifying &&
@@ -450,7 +475,7 @@
         if (!it || !isCurrent(it))
           return;
         auto status = statusOf(reply);
-        bool present = it->Target == it->Primary;
+        bool present = it->Target == it->Primary && !hasRestarted(*it);
         if (status && cluster::isLeading(*status, it->Record.Term, present)) {
           logStage(it, "leads");
           it->NewTerm = status->Term;
@@ -488,8 +513,8 @@
 
 void FailoverService::writeResult(const FailoverPtr &failover) {
   cluster::GroupRecord record = failover->Record;
-  cluster::recordPrimary(record, failover->Target, failover->NewTerm,
-                         failover->StartPosition);
+  cluster::recordPrimary(record, failover->Target, runOf(failover->Target),
+                         failover->NewTerm, failover->StartPosition);
   auto revision = Cluster->view().Groups.at(failover->Group).Revision;
   Cluster->change(
       {{groupKey(failover->Group), cluster::encodeRecord(record), revision,
--- /dev/null
+++ b/baobabpin/control/HolderKeeper.cpp
@@ -0,0 +1,211 @@
+#include "baobabpin/control/HolderKeeper.h"
+
+#include "baobabpin/control/RecordKeys.h"
+#include "platform/Wire.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace baobabpin::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A node that is not the first monitor waits this long before it acts.
+constexpr milliseconds TakeOverDelay{1500};
+/// The time between two checks of a group.
+constexpr milliseconds CheckPeriod{1000};
+
+} // namespace
+
+struct HolderKeeper::Check {
+  base::GroupName Group;
+  int SyncReplicas = 0;
+  cluster::Versioned<cluster::GroupRecord> Record;
+  std::uint64_t Era = 0;
+  /// The runs that were present at the beginning.
+  std::vector<cluster::ServerRun> Present;
+  /// The run of the primary.
+  std::int64_t PrimaryStartedMs = 0;
+  /// The end of the primary's log.
+  base::LogPosition End;
+  std::size_t Outstanding = 0;
+  /// The replicas that have received the log up to End.
+  std::vector<cluster::ServerRun> CaughtUp;
+};
+
+void HolderKeeper::tick() {
+  const auto *config = Cluster.configuration();
+  if (!config || !Cluster.isStoreReachable())
+    return;
+  auto now = base::BootClock::now();
+  for (const auto &[name, group] : config->Groups)
+    updateGroup(group, now);
+  writeDue();
+}
+
+void HolderKeeper::updateGroup(const cluster::GroupConfig &group,
+                               base::BootTime now) {
+  const auto &view = Cluster.view();
+  auto it = view.Groups.find(group.Name);
+  if (group.SyncReplicas <= 0 || it == view.Groups.end() ||
+      it->second.Value.FailoverInProgress ||
+      !cluster::isVerified(it->second.Value, view.Era)) {
+    States.erase(group.Name);
+    return;
+  }
+  cluster::GroupRecord record = it->second.Value;
+  bool upToDate = false;
+  bool needsCheck = true;
+  if (record.Holders) {
+    auto holders =
+        cluster::addPresentRuns(*record.Holders, Cluster.servers(), group.Name);
+    upToDate = holders == *record.Holders;
+    needsCheck =
+        !cluster::lostRuns(holders, Cluster.servers(), group.Name).empty();
+    record.Holders = std::move(holders);
+  }
+  if (upToDate && !needsCheck) {
+    States.erase(group.Name);
+    return;
+  }
+  GroupState &state =
+      States.try_emplace(group.Name, GroupState{now, now, {}}).first->second;
+  bool isTurn =
+      Cluster.isFirstMonitor() || now - state.NeededSince > TakeOverDelay;
+  if (!isTurn || Due.contains(group.Name))
+    return;
+  if (record.Holders && !upToDate) {
+    setDue(group.Name, std::move(record));
+    return;
+  }
+  if (state.Running || now < state.NextCheck)
+    return;
+  state.NextCheck = now + CheckPeriod;
+  startCheck(group, it->second);
+}
+
+void HolderKeeper::startCheck(
+    const cluster::GroupConfig &group,
+    const cluster::Versioned<cluster::GroupRecord> &record) {
+  auto primary = Cluster.servers().find(record.Value.Primary);
+  if (primary == Cluster.servers().end())
+    return;
+  auto check = std::make_shared<Check>();
+  check->Group = group.Name;
+  check->SyncReplicas = group.SyncReplicas;
+  check->Record = record;
+  check->Era = Cluster.view().Era;
+  check->Present = cluster::presentRuns(Cluster.servers(), group.Name);
+  check->PrimaryStartedMs = primary->second.StartedMs;
+  States[group.Name].Running = check;
+  Access.Query(
+      record.Value.Primary, platform::formatStatusQuery(), StatusTimeout,
+      [this, weak = std::weak_ptr<Check>(check)](
+          const std::optional<sql::Reply> &reply) {
+        CheckPtr it = weak.lock();
+        if (!it)
+          return;
+        auto status = statusOf(reply);
+        bool leads =
+            status && cluster::isLeading(*status, it->Record.Value.Term, true);
+        if (!leads) {
+          States[it->Group].Running.reset();
+          return;
+        }
+        it->End = status->Received;
+        askReplicas(it);
+      });
+}
+
+void HolderKeeper::askReplicas(const CheckPtr &check) {
+  std::vector<cluster::ServerRun> replicas;
+  for (const auto &it : check->Present) {
+    if (it.Id != check->Record.Value.Primary)
+      replicas.push_back(it);
+  }
+  check->Outstanding = replicas.size();
+  if (replicas.empty())
+    endCheck(check);
+  for (const auto &replica : replicas) {
+    Access.Query(replica.Id, platform::formatStatusQuery(), StatusTimeout,
+                 [this, weak = std::weak_ptr<Check>(check),
+                  replica](const std::optional<sql::Reply> &reply) {
+                   CheckPtr it = weak.lock();
+                   if (!it)
+                     return;
+                   auto status = statusOf(reply);
+                   if (status && status->Received >= it->End)
+                     it->CaughtUp.push_back(replica);
+                   if (--it->Outstanding == 0)
+                     endCheck(it);
+                 });
+  }
+}
+
+void HolderKeeper::endCheck(const CheckPtr &check) {
+  States[check->Group].Running.reset();
+  const auto &view = Cluster.view();
+  auto known = view.Groups.find(check->Group);
+  if (view.Era != check->Era || known == view.Groups.end() ||
+      known->second.Revision != check->Record.Revision)
+    return;
+  // A replica that has gone in the meantime holds nothing that counts.
+  auto gone =
+      cluster::lostRuns(check->CaughtUp, Cluster.servers(), check->Group);
+  auto remaining = check->CaughtUp.size() - gone.size();
+  bool isEnough = std::cmp_greater_equal(remaining, check->SyncReplicas);
+  Log.line("holders_checked")
+      .add("group", check->Group)
+      .add("end", platform::formatLogPosition(check->End))
+      .add("replicas_caught_up", static_cast<std::int64_t>(remaining))
+      .add("sync_replicas", check->SyncReplicas)
+      .add("enough", isEnough ? "yes" : "no");
+  if (!isEnough)
+    return;
+  cluster::GroupRecord record = known->second.Value;
+  record.Holders =
+      cluster::addPresentRuns(check->Present, Cluster.servers(), check->Group);
+  if (record.PrimaryStartedMs == 0)
+    record.PrimaryStartedMs = check->PrimaryStartedMs;
+  setDue(check->Group, std::move(record));
+}
+
+void HolderKeeper::setDue(const base::GroupName &group,
+                          cluster::GroupRecord record) {
+  // A list without limit would not be safer than none.
+  if (record.Holders && record.Holders->size() > cluster::MaxHolders)
+    record.Holders.reset();
+  auto revision = Cluster.view().Groups.at(group).Revision;
+  Due[group] = {std::move(record), revision};
+}
+
+void HolderKeeper::writeDue() {
+  if (Writing || Due.empty())
+    return;
+  std::vector<platform::KeyChange> changes;
+  std::string names;
+  for (const auto &[group, it] : std::exchange(Due, {})) {
+    auto known = Cluster.view().Groups.find(group);
+    // The others are noted again.
+    if (changes.size() == platform::MaxKeyChanges ||
+        known == Cluster.view().Groups.end() ||
+        known->second.Revision != it.Revision)
+      continue;
+    changes.push_back(
+        {groupKey(group), cluster::encodeRecord(it.Value), it.Revision, false});
+    names += (names.empty() ? "" : ",") + group;
+  }
+  if (changes.empty())
+    return;
+  Writing = true;
+  Cluster.change(changes, [this, names](const store::StoreReply &reply) {
+    Writing = false;
+    Log.line("holders_recorded")
+        .add("groups", names)
+        .add("result", store::storeStatusName(reply.Status));
+  });
+}
+
+} // namespace baobabpin::control
--- a/baobabpin/control/ServerDirectory.cpp
+++ b/baobabpin/control/ServerDirectory.cpp
@@ -51,9 +51,6 @@
 }
 
 bool ServerDirectory::updateServers(base::BootTime now) {
-  std::erase_if(EndedRuns, [now](const EndedRun &it) {
-    return now - it.EndedAt > EndedRunMemory;
-  });
   std::map<std::string_view, const cluster::ServerRegistration *> present;
   for (const auto &it : Registrations)
     present.emplace(it.Id, &it);
@@ -67,8 +64,6 @@
       FirstSeenDraining.insert(it->Id);
     if (!it->Draining)
       FirstSeenDraining.erase(it->Id);
-    if (known->second.StartedMs != it->StartedMs)
-      noteEndOfRun(known->second, now);
     known->second = *it;
     Log.line("server_registered")
         .add("server", id)
@@ -91,7 +86,6 @@
         !Servers.contains(id))
       continue;
     changed = true;
-    noteEndOfRun(Servers.at(id), now);
     Servers.erase(id);
     Log.line("server_gone").add("server", id).add("missing_ms", now - since);
   }
@@ -102,36 +96,6 @@
   return changed;
 }
 
-void ServerDirectory::noteEndOfRun(const cluster::ServerRegistration &server,
-                                   base::BootTime now) {
-  // A run may be seen to end more than once, if its registration comes back.
-  std::erase_if(EndedRuns, [&](const EndedRun &it) {
-    return it.Server.Id == server.Id && it.Server.StartedMs == server.StartedMs;
-  });
-  EndedRuns.push_back({server, now});
-}
-
-bool ServerDirectory::hasHeir(const cluster::ServerRegistration &ended) const {
-  return ended.Draining && std::ranges::any_of(Servers, [&](const auto &it) {
-           return it.first != ended.Id && it.second.Group == ended.Group &&
-                  it.second.Address == ended.Address;
-         });
-}
-
-std::size_t ServerDirectory::countLostRuns(const base::GroupName &group,
-                                           const base::ServerId &primary,
-                                           base::BootTime since) const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(EndedRuns, [&](const EndedRun &it) {
-        // A registration that is back shows the same run.
-        auto known = Servers.find(it.Server.Id);
-        bool goesOn = known != Servers.end() &&
-                      known->second.StartedMs == it.Server.StartedMs;
-        return it.Server.Group == group && it.Server.Id != primary &&
-               it.EndedAt > since && !goesOn && !hasHeir(it.Server);
-      }));
-}
-
 std::optional<base::BootTime>
 ServerDirectory::leavingSince(const base::ServerId &id) const {
   auto it = LeavingSince.find(id);
--- a/baobabpin/control/ServerDirectory.h
+++ b/baobabpin/control/ServerDirectory.h
@@ -34,16 +34,6 @@
 /// than the age of the copies from which the store is restored.
 inline constexpr std::chrono::minutes DrainMemory{5};
 
-/// A run of a server that has ended: its registration has gone, or a later run
-/// has begun under the same Id.
-struct EndedRun {
-  cluster::ServerRegistration Server;
-  base::BootTime EndedAt{};
-};
-
-/// The time for which an ended run is remembered.
-inline constexpr std::chrono::minutes EndedRunMemory{5};
-
 class ServerDirectory {
 public:
   explicit ServerDirectory(kernel::LineLog &log);
@@ -67,13 +57,6 @@
   bool wasFirstSeenDraining(const base::ServerId &id) const {
     return FirstSeenDraining.contains(id);
   }
-  /// Returns the number of runs of the group's servers, other than \p primary,
-  /// that ended after \p since with commits that no present server has for
-  /// certain. A server that drained until its end passes its log on to the
-  /// server that takes over its address.
-  std::size_t countLostRuns(const base::GroupName &group,
-                            const base::ServerId &primary,
-                            base::BootTime since) const;
   /// Returns the last snapshot, without servers that are kept only for
   /// RemovalDelay.
   const std::vector<cluster::ServerRegistration> &registrations() const {
@@ -95,9 +78,6 @@
                        base::BootTime now);
   /// Updates Servers from Registrations. Returns whether Servers has changed.
   bool updateServers(base::BootTime now);
-  void noteEndOfRun(const cluster::ServerRegistration &server,
-                    base::BootTime now);
-  bool hasHeir(const cluster::ServerRegistration &ended) const;
 
   kernel::LineLog &Log;
   std::vector<cluster::ServerRegistration> Registrations;
@@ -107,8 +87,6 @@
   std::map<base::ServerId, base::BootTime> LeavingSince;
   std::set<base::ServerId> FirstSeenDraining;
   std::map<base::ServerId, DrainingRun> DrainingRuns;
-  /// In the order in which they ended.
-  std::vector<EndedRun> EndedRuns;
 };
 
 } // namespace baobabpin::control
--- a/baobabpin/control/ServerDirectoryTest.cpp
+++ b/baobabpin/control/ServerDirectoryTest.cpp
@@ -90,49 +90,6 @@
   }
 }
 
-TEST_CASE("runs of servers that may have held the only copy of a commit") {
-  DirectoryFixture fixture;
-  auto lostSince = [&](std::chrono::milliseconds time) {
-    return fixture.Directory.countLostRuns("g", "s1", Start + time);
-  };
-  auto removeS2 = [&] {
-    fixture.adopt({makeServer("s1")}, 100ms);
-    fixture.adopt({makeServer("s1")}, 100ms + RemovalDelay);
-  };
-
-  SUBCASE("a server without a registration counts once it is removed") {
-    CHECK(lostSince(0ms) == 0);
-    removeS2();
-    CHECK(lostSince(0ms) == 1);
-    CHECK(lostSince(200ms + RemovalDelay) == 0);
-    CHECK(fixture.Directory.countLostRuns("g", "s2", Start) == 0);
-    CHECK(fixture.Directory.countLostRuns("h", "s1", Start) == 0);
-  }
-  SUBCASE("it does not count when the same run is back") {
-    removeS2();
-    fixture.adopt({makeServer("s1"), makeServer("s2")}, 10s);
-    CHECK(lostSince(0ms) == 0);
-  }
-  SUBCASE("a later run under the same Id does not have the commits") {
-    auto restarted = makeServer("s2");
-    restarted.StartedMs = 8;
-    fixture.adopt({makeServer("s1"), restarted}, 100ms);
-    CHECK(lostSince(0ms) == 1);
-  }
-  SUBCASE("a drained server passes its log on to the one at its address") {
-    auto draining = makeServer("s2");
-    draining.Address.Port = 71;
-    draining.Draining = true;
-    fixture.adopt({makeServer("s1"), draining}, 50ms);
-    removeS2();
-    CHECK(lostSince(0ms) == 1);
-    auto heir = makeServer("s3");
-    heir.Address.Port = 71;
-    fixture.adopt({makeServer("s1"), heir}, 10s);
-    CHECK(lostSince(0ms) == 0);
-  }
-}
-
 TEST_CASE("a draining server is leaving but is not removed") {
   DirectoryFixture fixture;
   auto draining = makeServer("s2");
--- a/baobabpin/control/internal/Failover.h
+++ b/baobabpin/control/internal/Failover.h
@@ -25,6 +25,8 @@
   /// The server that is replaced: the primary of the record, or the server as
   /// which it has restarted.
   base::ServerId Primary;
+  /// The run of Primary that led, or 0 if it is not known.
+  std::int64_t PrimaryStartedMs = 0;
   /// The old primary was reachable at the start.
   bool PrimaryWasReachable = false;
   base::BootTime StartedAt{};
