Replace a primary that has started again without its log

Callers saw: writes are refused for good although all servers answer.

Cause: a server that starts again under its ID has lost its log and is a replica. If it was back before the nodes missed its replies, they went on with it as the primary, because they compared IDs only.

Change: a primary whose registration shows a later run than the record is replaced like one that leaves.

--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -39,7 +39,8 @@
 /// What this node itself has observed of a group's primary.
 struct PrimaryObservation {
   /// The primary is leaving and is to be replaced now: another server can
-  /// replace it, or it may not be used any more.
+  /// replace it, or it may not be used any more. The same holds for a primary
+  /// that has started again under its ID, and so without its log.
   bool Leaving = false;
   /// The time since the primary's last reply. Empty if it never replied.
   std::optional<std::chrono::nanoseconds> PrimaryReplyAge;
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -1,5 +1,6 @@
 #include "baobabpin/frontend/GroupProxy.h"
 
+#include "baobabpin/cluster/CommitHolders.h"
 #include "baobabpin/cluster/OrganisationShares.h"
 #include "platform/Wire.h"
 
@@ -480,8 +481,12 @@
     return it;
   const auto &id = record->second.Value.Primary;
   auto server = pool(id);
-  it.Leaving = !server || (isLeaving(id) &&
-                           (hasReplacementFor(id) || !Cluster.mayServe(id)));
+  bool restarted =
+      server && !cluster::maybeSameRun(server->server().StartedMs,
+                                       record->second.Value.PrimaryStartedMs);
+  it.Leaving =
+      !server || restarted ||
+      (isLeaving(id) && (hasReplacementFor(id) || !Cluster.mayServe(id)));
   if (!server)
     return it;
   it.Unreachable = server->condition().Unreachable;
