Order a session's own commit by its log, not by the epoch

Cause: a read did not require the session's commit if its epoch was lower than that of the known positions. The epoch also grows when a record is verified and the same primary goes on with the same log. Nodes that have not noticed that still acknowledge commits in the earlier epoch, while peers report positions in the new one that are older than these.

Change: a session's commit is required unless the record knows that a promotion has discarded it: it lies after the beginning of the term that followed its own. Sessions and statements keep no epoch of their commits any more.

This works because a commit stays in the log of the primary until a later term begins without it, and the record says where each term began. If it does not know that, the leader has entries of its own term, and each of its positions is higher than the commit.

--- a/baobabpin/cluster/PositionHistory.cpp
+++ b/baobabpin/cluster/PositionHistory.cpp
@@ -30,18 +30,25 @@
     samples.push_back({sentAt, position});
 }
 
+bool isDiscarded(base::LogPosition position,
+                 const std::vector<TermStart> &terms) {
+  auto next = std::ranges::find_if(
+      terms, [&](const TermStart &it) { return it.Term > position.Term; });
+  return next != terms.end() && next->Position != base::LogPosition{} &&
+         position > next->Position;
+}
+
 std::optional<base::LogPosition>
 requiredPosition(const PositionHistory &history,
-                 const FreshnessRequirement &need) {
+                 const FreshnessRequirement &need,
+                 const std::vector<TermStart> &terms) {
   const auto &samples = history.Samples;
   auto it = std::ranges::lower_bound(samples, need.CoveredUntil, {},
                                      &PositionSample::SentAt);
   if (it == samples.end())
     return std::nullopt;
   base::LogPosition required = it->Position;
-  // A commit of an earlier epoch is either covered by every position that the
-  // current primary reports, or was rolled back and can never be reached.
-  if (need.OwnCommit && need.OwnEpoch >= history.Epoch)
+  if (need.OwnCommit && !isDiscarded(*need.OwnCommit, terms))
     required = std::max(required, *need.OwnCommit);
   return required;
 }
--- a/baobabpin/cluster/PositionHistory.h
+++ b/baobabpin/cluster/PositionHistory.h
@@ -8,15 +8,18 @@
 ///
 /// \code
 ///   recordSample(history, epoch, sentAt, position);
-///   auto required = requiredPosition(history, {now - 1500ms, sessionCommit});
+///   auto required = requiredPosition(history, {now - 1500ms, sessionCommit},
+///                                    knownTerms(record));
 /// \endcode
 #pragma once
 
 #include "baobabpin/base/BootClock.h"
 #include "baobabpin/base/LogPosition.h"
+#include "baobabpin/cluster/Types.h"
 
 #include <deque>
 #include <optional>
+#include <vector>
 
 namespace baobabpin::cluster {
 
@@ -51,14 +54,25 @@
   base::BootTime CoveredUntil{};
   /// The session's own last commit, if it must be visible.
   std::optional<base::LogPosition> OwnCommit;
-  /// The group's epoch in which OwnCommit was acknowledged.
-  std::uint64_t OwnEpoch = 0;
 };
 
+/// Whether a promotion has discarded the log entry at \p position. \p terms are
+/// the known beginnings of terms, in ascending order. An entry counts as kept
+/// if the beginning of the term that followed it is not known.
+bool isDiscarded(base::LogPosition position,
+                 const std::vector<TermStart> &terms);
+
 /// Returns the lowest known position that satisfies \p need, or nothing when no
-/// sample does.
+/// sample does. \p terms is the same as for isDiscarded().
+///
+/// Positions of one log are ordered by term and index. The epoch says nothing
+/// about that order: it also grows when the same primary goes on with the same
+/// log, and nodes that have not noticed that yet acknowledge commits that the
+/// first samples of the new epoch lack. Hence only a discarded commit is not
+/// required. The log may never reach its position.
 std::optional<base::LogPosition>
 requiredPosition(const PositionHistory &history,
-                 const FreshnessRequirement &need);
+                 const FreshnessRequirement &need,
+                 const std::vector<TermStart> &terms);
 
 } // namespace baobabpin::cluster
--- a/baobabpin/cluster/ReadWaitTest.cpp
+++ b/baobabpin/cluster/ReadWaitTest.cpp
@@ -140,7 +140,8 @@
   }
 
   void plan(const ReadPtr &read) {
-    auto wanted = requiredPosition(History, {read->Arrived - Staleness, {}, 0});
+    auto wanted =
+        requiredPosition(History, {read->Arrived - Staleness, {}}, {});
     REQUIRE(wanted);
     std::vector<ReadCandidate> candidates;
     for (const auto &server : Servers)
--- a/baobabpin/cluster/ReplicaLagTest.cpp
+++ b/baobabpin/cluster/ReplicaLagTest.cpp
@@ -126,7 +126,7 @@
     bool stalled = passed >= StallAt && passed < RecoverAt;
     auto applied =
         stalled ? positionAt(Start + StallAt) : positionAt(now - 10ms);
-    auto wanted = requiredPosition(history, {now - 1500ms, {}, 0});
+    auto wanted = requiredPosition(history, {now - 1500ms, {}}, {});
     if (!wanted || !sends(progress, history, *wanted, now)) {
       servedInSequence = 0;
       continue;
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -285,6 +285,15 @@
   addSample(*epoch, sentAt, *reply.Position);
 }
 
+std::optional<base::LogPosition>
+GroupProxy::requiredPosition(const cluster::FreshnessRequirement &need) const {
+  std::vector<cluster::TermStart> terms;
+  auto record = Cluster.view().Groups.find(Name);
+  if (record != Cluster.view().Groups.end())
+    terms = cluster::knownTerms(record->second.Value);
+  return cluster::requiredPosition(History, need, terms);
+}
+
 void GroupProxy::addSample(std::uint64_t epoch, base::BootTime sentAt,
                            base::LogPosition position) {
   bool first = History.Samples.empty() || epoch > History.Epoch;
--- a/baobabpin/frontend/GroupProxy.h
+++ b/baobabpin/frontend/GroupProxy.h
@@ -108,7 +108,10 @@
   /// the statement was sent, if the server was the usable primary then.
   void recordReply(pooling::ServerPool &pool, base::BootTime sentAt,
                    const sql::Reply &reply, std::optional<std::uint64_t> epoch);
-  const cluster::PositionHistory &history() const { return History; }
+  /// Returns the position that a read needs, or nothing while none is known
+  /// that satisfies \p need.
+  std::optional<base::LogPosition>
+  requiredPosition(const cluster::FreshnessRequirement &need) const;
   /// The primary's latest known log position; empty if none is known.
   std::optional<control::PositionReport> positionReport() const;
   /// Records a log position that the primary of \p epoch had reached by
--- a/baobabpin/frontend/RunTypes.h
+++ b/baobabpin/frontend/RunTypes.h
@@ -52,9 +52,8 @@
   /// The transaction's BEGIN, to be sent before its first statement; empty
   /// outside of a transaction and after the first statement.
   std::optional<sql::Verb> Begin;
-  /// Position and epoch of the session's last commit, which a read must see.
+  /// Position of the session's last commit, which a read must see.
   std::optional<base::LogPosition> OwnCommit;
-  std::uint64_t OwnEpoch = 0;
   /// The session's values (SetValue), which the server connection must hold.
   std::map<std::string, std::string> Values;
   /// The prepared statement that Execute names.
--- a/baobabpin/frontend/Session.cpp
+++ b/baobabpin/frontend/Session.cpp
@@ -427,10 +427,8 @@
                          (Transaction ? !Transaction->ReadOnly : changesData);
   request.Writes = it.Kind == Verb::Commit ? Transaction->Wrote
                                            : changesData && !Transaction;
-  if (current->Reads == cluster::Consistency::ReadYourWrites) {
+  if (current->Reads == cluster::Consistency::ReadYourWrites)
     request.OwnCommit = OwnCommit;
-    request.OwnEpoch = OwnEpoch;
-  }
   request.Values = Values;
   if (Transaction && changesData)
     Transaction->Wrote = true;
@@ -517,10 +515,8 @@
   auto now = base::BootClock::now();
   LastActive = now;
   Context.OnStatement(route, result.Reply, now - arrived);
-  if (writes && result.Reply.succeeded() && result.Reply.Position) {
+  if (writes && result.Reply.succeeded() && result.Reply.Position)
     OwnCommit = result.Reply.Position;
-    OwnEpoch = result.Pinned.Epoch;
-  }
   if (Transaction) {
     Transaction->LastActive = now;
     if (verb == Verb::Commit) {
--- a/baobabpin/frontend/Session.h
+++ b/baobabpin/frontend/Session.h
@@ -187,8 +187,8 @@
   std::optional<quota::Token> SpentToken;
   /// The organisation for which Run or AwaitingAdmission works.
   base::OrganisationName RunOrganisation;
+  /// The position of the last commit of the session.
   std::optional<base::LogPosition> OwnCommit;
-  std::uint64_t OwnEpoch = 0;
   base::BootTime OpenRequestedAt{};
   kernel::Timer OpenTimer;
   kernel::Timer HeaderTimer;
--- a/baobabpin/frontend/StatementRun.cpp
+++ b/baobabpin/frontend/StatementRun.cpp
@@ -223,10 +223,9 @@
 }
 
 void StatementRun::runOnReplica() {
-  cluster::FreshnessRequirement need{Request.FreshAsOf -
-                                         Request.Route.MaxStaleness,
-                                     Request.OwnCommit, Request.OwnEpoch};
-  WaitFor = cluster::requiredPosition(Group->history(), need);
+  cluster::FreshnessRequirement need{
+      Request.FreshAsOf - Request.Route.MaxStaleness, Request.OwnCommit};
+  WaitFor = Group->requiredPosition(need);
   auto choice = Group->primary();
   if (!WaitFor && choice.Pool && !std::exchange(PositionAwaited, true)) {
     waitForServer(PositionWaitLimit);
