--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -186,7 +186,9 @@
 findRestartedPrimary(const std::vector<Candidate> &candidates,
                      const PromotionContext &context) {
   // The record of a group's first primary does not know its term.
-  if (context.RecordTerm == 0)
+  bool hasReplied =
+      std::ranges::any_of(candidates, &Candidate::IsCurrentPrimary);
+  if (context.RecordTerm == 0 || hasReplied)
     return std::nullopt;
   base::LogPosition start;
   if (!context.Terms.empty())
@@ -196,7 +198,7 @@
            it.Status.Term == context.RecordTerm && it.Status.Received >= start;
   };
   auto leader = std::ranges::find_if(candidates, leads);
-  if (std::ranges::count_if(candidates, leads) != 1 || leader->IsCurrentPrimary)
+  if (std::ranges::count_if(candidates, leads) != 1)
     return std::nullopt;
   return *leader;
 }
--- a/baobabpin/cluster/MoveDecision.h
+++ b/baobabpin/cluster/MoveDecision.h
@@ -179,8 +179,9 @@
 
 /// Returns the server that is the current primary under another ID: it has
 /// restarted with its log, and leads the term of the record. The platform does
-/// not change anything when this server is promoted. Returns nothing if no
-/// server, or more than one, reports to lead that term.
+/// not change anything when this server is promoted. Returns nothing if the
+/// primary itself has replied, or if no server, or more than one, reports to
+/// lead that term.
 std::optional<Candidate>
 findRestartedPrimary(const std::vector<Candidate> &candidates,
                      const PromotionContext &context);
--- a/baobabpin/cluster/MoveDecisionTest.cpp
+++ b/baobabpin/cluster/MoveDecisionTest.cpp
@@ -244,7 +244,10 @@
     restarted.Status.Received = {2, 4};
     CHECK_FALSE(findRestartedPrimary({restarted}, context));
   }
-  SUBCASE("not if it is the primary of the record itself") {
+  SUBCASE("not if the primary of the record has replied") {
+    auto current = candidate("p", Replica, 4, {3, 9});
+    current.IsCurrentPrimary = true;
+    CHECK_FALSE(findRestartedPrimary({current, restarted}, context));
     restarted.IsCurrentPrimary = true;
     CHECK_FALSE(findRestartedPrimary({replica, restarted}, context));
   }
