Forget the status of the primary when it has restarted under another ID

If the restarted server did not confirm that it stepped down, the status under the earlier ID was taken for its own. Found by reading; no play showed it.

--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -185,10 +185,10 @@
 std::optional<Candidate>
 findRestartedPrimary(const std::vector<Candidate> &candidates,
                      const PromotionContext &context) {
-  // The record of a group's first primary does not know its term.
   bool hasReplied =
       std::ranges::any_of(candidates, &Candidate::IsCurrentPrimary);
-  if (context.RecordTerm == 0 || hasReplied)
+  // The record of a group's first primary does not know its term.
+  if (hasReplied || context.RecordTerm == 0)
     return std::nullopt;
   base::LogPosition start;
   if (!context.Terms.empty())
--- a/baobabpin/control/FailoverSteps.cpp
+++ b/baobabpin/control/FailoverSteps.cpp
@@ -418,6 +418,8 @@
                                          const cluster::Candidate &server) {
   failover->Primary = server.Server;
   failover->PrimaryStartedMs = runOf(server.Server);
+  // A status of the primary under its earlier ID says nothing about this run.
+  failover->OldStatus.reset();
   logStage(failover, "primary_restarted");
   // No other server can have been promoted, or be about to lead.
   bool isCertain = !failover->Continued && !failover->Verifying &&
