--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -47,8 +47,7 @@
   StartedAt = base::BootClock::now();
   Verifier = std::make_unique<RecordVerifier>(kernel.loop(), *Cluster, Log);
   Verifier->OnDoubt = [this](const auto &group) { announce(group); };
-  Holders =
-      std::make_unique<HolderKeeper>(kernel.loop(), *Cluster, Access, Log);
+  Holders = std::make_unique<HolderKeeper>(*Cluster, Access, Log);
   Promotions =
       std::make_unique<platform::Promotions>(kernel.loop(), PromotionsEndpoint);
   Ticker = kernel.loop().runEvery(TickPeriod, [this] { tick(); });
--- a/baobabpin/control/HolderKeeper.cpp
+++ b/baobabpin/control/HolderKeeper.cpp
@@ -3,7 +3,6 @@
 #include "baobabpin/control/RecordKeys.h"
 #include "platform/Wire.h"
 
-#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -55,18 +54,15 @@
     States.erase(group.Name);
     return;
   }
-  cluster::GroupRecord record = it->second.Value;
-  bool upToDate = false;
-  bool needsCheck = true;
-  if (record.Holders) {
-    auto holders =
-        cluster::addPresentRuns(*record.Holders, Cluster.servers(), group.Name);
-    upToDate = holders == *record.Holders;
-    needsCheck =
-        !cluster::lostRuns(holders, Cluster.servers(), group.Name).empty();
-    record.Holders = std::move(holders);
-  }
-  if (upToDate && !needsCheck) {
+  const auto &known = it->second.Value.Holders;
+  auto holders = known;
+  if (known)
+    holders = cluster::addPresentRuns(*known, Cluster.servers(), group.Name);
+  bool isChanged = holders != known;
+  bool needsCheck =
+      !known ||
+      !cluster::lostRuns(*holders, Cluster.servers(), group.Name).empty();
+  if (!isChanged && !needsCheck) {
     States.erase(group.Name);
     return;
   }
@@ -76,7 +72,9 @@
       Cluster.isFirstMonitor() || now - state.NeededSince > TakeOverDelay;
   if (!isTurn || Due.contains(group.Name))
     return;
-  if (record.Holders && !upToDate) {
+  if (isChanged) {
+    cluster::GroupRecord record = it->second.Value;
+    record.Holders = std::move(holders);
     setDue(group.Name, std::move(record));
     return;
   }
--- a/baobabpin/control/HolderKeeper.h
+++ b/baobabpin/control/HolderKeeper.h
@@ -7,7 +7,7 @@
 /// of them has gone.
 ///
 /// \code
-///   HolderKeeper keeper(loop, cluster, access, log);
+///   HolderKeeper keeper(cluster, access, log);
 ///   keeper.tick(); // Periodically.
 /// \endcode
 #pragma once
@@ -15,10 +15,8 @@
 #include "baobabpin/cluster/CommitHolders.h"
 #include "baobabpin/control/ClusterService.h"
 #include "baobabpin/control/ServerAccess.h"
-#include "baobabpin/kernel/EventLoop.h"
 #include "baobabpin/kernel/LineLog.h"
 
-#include <cstddef>
 #include <map>
 #include <memory>
 #include <vector>
@@ -27,9 +25,9 @@
 
 class HolderKeeper {
 public:
-  HolderKeeper(kernel::EventLoop &loop, ClusterService &cluster,
-               const ServerAccess &access, kernel::LineLog &log)
-      : Loop(loop), Cluster(cluster), Access(access), Log(log) {}
+  HolderKeeper(ClusterService &cluster, const ServerAccess &access,
+               kernel::LineLog &log)
+      : Cluster(cluster), Access(access), Log(log) {}
 
   /// Brings the records up to date, as far as that is this node's turn.
   void tick();
@@ -56,7 +54,6 @@
   void setDue(const base::GroupName &group, cluster::GroupRecord record);
   void writeDue();
 
-  kernel::EventLoop &Loop;
   ClusterService &Cluster;
   const ServerAccess &Access;
   kernel::LineLog &Log;
