Compare two runs of a server in one place

ServerPool compared the starts of two runs by hand, as maybeSameRun() does. The function stands beside ServerRegistration now, and the pool calls it. No change of behaviour.

--- a/baobabpin/cluster/CommitHolders.h
+++ b/baobabpin/cluster/CommitHolders.h
@@ -24,7 +24,6 @@
 
 #include "baobabpin/cluster/Types.h"
 
-#include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
@@ -50,12 +49,6 @@
                                 const ServerMap &servers,
                                 const base::GroupName &group);
 
-/// Whether the run that started at \p startedMs may be the one that \p expected
-/// names. A start of 0 is not known.
-constexpr bool maybeSameRun(std::int64_t startedMs, std::int64_t expected) {
-  return startedMs == 0 || expected == 0 || startedMs == expected;
-}
-
 /// Returns the runs that may hold acknowledged commits and are neither the
 /// primary of \p record nor among the servers that were \p heard, by ID.
 std::vector<ServerRun> unheardRuns(const GroupRecord &record,
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -112,6 +112,12 @@
 /// registration, so this is checked for each one that another process supplies.
 bool isUsable(const ServerRegistration &it);
 
+/// Whether the run that started at \p startedMs may be the one that \p expected
+/// names. A start of 0 is not known.
+constexpr bool maybeSameRun(std::int64_t startedMs, std::int64_t expected) {
+  return startedMs == 0 || expected == 0 || startedMs == expected;
+}
+
 /// One run of a database server. A server that starts again under its ID has
 /// none of the commits that it held before.
 struct ServerRun {
--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -1,6 +1,5 @@
 #include "baobabpin/frontend/GroupProxy.h"
 
-#include "baobabpin/cluster/CommitHolders.h"
 #include "baobabpin/cluster/OrganisationShares.h"
 #include "platform/Wire.h"
 
--- a/baobabpin/pooling/ServerPool.cpp
+++ b/baobabpin/pooling/ServerPool.cpp
@@ -129,8 +129,7 @@
 }
 
 void ServerPool::update(const cluster::ServerRegistration &server) {
-  bool otherRun = Server.StartedMs != 0 && server.StartedMs != 0 &&
-                  Server.StartedMs != server.StartedMs;
+  bool otherRun = !cluster::maybeSameRun(server.StartedMs, Server.StartedMs);
   Server = server;
   if (otherRun)
     pacing::restart(Pace, base::BootClock::now());
