Find the term that follows an entry in one place

isDivergent() and isDiscarded() both looked for the first known term after the one of a log entry. Both call termAfter() now. What they conclude differs on purpose and stays: a server counts as divergent, and a commit as kept, if that beginning is not known.

--- a/baobabpin/cluster/MoveDecision.cpp
+++ b/baobabpin/cluster/MoveDecision.cpp
@@ -124,11 +124,9 @@
   if (it.IsCurrentPrimary || end.Term >= context.RecordTerm || end.Index == 0)
     return false;
   // The log of each later term begins with what the first of them kept.
-  auto next = std::ranges::find_if(context.Terms, [&](const TermStart &term) {
-    return term.Term > end.Term;
-  });
-  bool isKept = next != context.Terms.end() &&
-                next->Position.Term == end.Term && end <= next->Position;
+  const TermStart *next = termAfter(context.Terms, end.Term);
+  bool isKept =
+      next && next->Position.Term == end.Term && end <= next->Position;
   return !isKept;
 }
 
--- a/baobabpin/cluster/PositionHistory.cpp
+++ b/baobabpin/cluster/PositionHistory.cpp
@@ -32,9 +32,8 @@
 
 bool isDiscarded(base::LogPosition position,
                  const std::vector<TermStart> &terms) {
-  auto next = std::ranges::find_if(
-      terms, [&](const TermStart &it) { return it.Term > position.Term; });
-  return next != terms.end() && next->Position != base::LogPosition{} &&
+  const TermStart *next = termAfter(terms, position.Term);
+  return next && next->Position != base::LogPosition{} &&
          position > next->Position;
 }
 
--- a/baobabpin/cluster/Types.cpp
+++ b/baobabpin/cluster/Types.cpp
@@ -2,6 +2,8 @@
 
 #include "baobabpin/base/Word.h"
 
+#include <algorithm>
+
 namespace baobabpin::cluster {
 
 bool isUsable(const ServerRegistration &it) {
@@ -9,4 +11,11 @@
          base::isName(it.Zone) && http::isReachable(it.Address);
 }
 
+const TermStart *termAfter(const std::vector<TermStart> &terms,
+                           base::TermNumber term) {
+  auto it = std::ranges::find_if(
+      terms, [term](const TermStart &start) { return start.Term > term; });
+  return it == terms.end() ? nullptr : &*it;
+}
+
 } // namespace baobabpin::cluster
--- a/baobabpin/cluster/Types.h
+++ b/baobabpin/cluster/Types.h
@@ -142,6 +142,11 @@
   bool operator==(const TermStart &) const = default;
 };
 
+/// Returns the first of \p terms, which are in ascending order, that is later
+/// than \p term, or null if there is none.
+const TermStart *termAfter(const std::vector<TermStart> &terms,
+                           base::TermNumber term);
+
 /// The number of earlier terms that a record remembers.
 inline constexpr std::size_t MaxEarlierTerms = 8;
 /// The number of holders of commits that a record remembers.
