Copy the known terms only for reads that may need them

Each read at a replica copied the beginnings of all known terms, also without a commit of its session or with one of the record's term, for which no later term is known. No change of behaviour: without a later term, no commit counts as discarded.

--- a/baobabpin/frontend/GroupProxy.cpp
+++ b/baobabpin/frontend/GroupProxy.cpp
@@ -286,9 +286,11 @@
 
 std::optional<base::LogPosition>
 GroupProxy::requiredPosition(const cluster::FreshnessRequirement &need) const {
+  // No term is later than the one of the record, so that most reads need none.
   std::vector<cluster::TermStart> terms;
   auto record = Cluster.view().Groups.find(Name);
-  if (record != Cluster.view().Groups.end())
+  if (need.OwnCommit && record != Cluster.view().Groups.end() &&
+      need.OwnCommit->Term < record->second.Value.Term)
     terms = cluster::knownTerms(record->second.Value);
   return cluster::requiredPosition(History, need, terms);
 }
