Note once whether another coordinator had begun a failover

requestVerification() noted it, and writeIntents(), through which each failover of this node goes, notes it again from the record that it replaces. The first note was never read. No change of behaviour.

--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -165,14 +165,12 @@
 }
 
 void FailoverService::requestVerification(const base::GroupName &group) {
-  const auto &record = Cluster->view().Groups.at(group).Value;
-  GroupCheckState &state = Checks[group];
   bool isTurn = Cluster->isFirstMonitor() ||
-                base::BootClock::now() - state.RecordSeen > RecordCreationDelay;
+                base::BootClock::now() - Checks[group].RecordSeen >
+                    RecordCreationDelay;
   if (!Cluster->isStoreReachable() || !isTurn || WritePending ||
       Verifier->isBusy())
     return;
-  state.InterruptedFailover = record.FailoverInProgress;
   if (Cluster->knewEarlierEra())
     Verifier->add(group);
   else
--- a/baobabpin/control/FailoverService.h
+++ b/baobabpin/control/FailoverService.h
@@ -65,7 +65,7 @@
     base::BootTime RecordSeen{};
     base::StorePosition RecordPosition;
     /// Another coordinator had begun a failover when this node last announced
-    /// one, or when the store was restored.
+    /// one.
     bool InterruptedFailover = false;
   };
 
