Collect the records that one change writes in one place

Three places built the same list of changed keys and the same list of names for the log: the announcement of failovers, the verification of records and, new, the holders of commits. They call addGroup() and isFull() now. No change of behaviour.

--- a/baobabpin/control/FailoverService.cpp
+++ b/baobabpin/control/FailoverService.cpp
@@ -1,5 +1,6 @@
 #include "baobabpin/control/FailoverService.h"
 
+#include "baobabpin/control/GroupChanges.h"
 #include "baobabpin/control/RecordKeys.h"
 #include "baobabpin/control/internal/Failover.h"
 
@@ -165,9 +166,9 @@
 }
 
 void FailoverService::requestVerification(const base::GroupName &group) {
-  bool isTurn = Cluster->isFirstMonitor() ||
-                base::BootClock::now() - Checks[group].RecordSeen >
-                    RecordCreationDelay;
+  bool isTurn =
+      Cluster->isFirstMonitor() ||
+      base::BootClock::now() - Checks[group].RecordSeen > RecordCreationDelay;
   if (!Cluster->isStoreReachable() || !isTurn || WritePending ||
       Verifier->isBusy())
     return;
@@ -280,13 +281,12 @@
   cluster::DutyRecord newDuty{
       Cluster->self().Node,
       cluster::nextToken(duty.Value.Token, Cluster->view().Era)};
-  std::vector<platform::KeyChange> changes{
-      {dutyKey(), cluster::encodeRecord(newDuty), duty.Revision, false}};
-  std::string names;
+  GroupChanges changes{
+      {{dutyKey(), cluster::encodeRecord(newDuty), duty.Revision, false}}, {}};
   for (const auto &[group, revision] : due) {
     auto it = Cluster->view().Groups.find(group);
     if (it == Cluster->view().Groups.end() || it->second.Revision != revision ||
-        Failovers.contains(group) || changes.size() == platform::MaxKeyChanges)
+        Failovers.contains(group) || isFull(changes))
       continue;
     cluster::GroupRecord record = it->second.Value;
     Checks[group].InterruptedFailover = record.FailoverInProgress;
@@ -295,21 +295,20 @@
     record.FailoverInProgress = true;
     record.Coordinator = cluster::formatIdentity(Cluster->self());
     record.Token = newDuty.Token;
-    changes.push_back(
-        {groupKey(group), cluster::encodeRecord(record), revision, false});
-    names += (names.empty() ? "" : ",") + group;
+    addGroup(changes, group, record, revision);
   }
-  if (names.empty())
+  if (changes.Names.empty())
     return;
   WritePending = true;
-  Cluster->change(changes, [this, names, token = newDuty.Token](
-                               const store::StoreReply &reply) {
-    WritePending = false;
-    Log.line("move_intent")
-        .add("groups", names)
-        .add("token", static_cast<std::int64_t>(token))
-        .add("result", store::storeStatusName(reply.Status));
-  });
+  Cluster->change(changes.Keys,
+                  [this, names = changes.Names,
+                   token = newDuty.Token](const store::StoreReply &reply) {
+                    WritePending = false;
+                    Log.line("move_intent")
+                        .add("groups", names)
+                        .add("token", static_cast<std::int64_t>(token))
+                        .add("result", store::storeStatusName(reply.Status));
+                  });
 }
 
 } // namespace baobabpin::control
--- a/baobabpin/control/HolderKeeper.cpp
+++ b/baobabpin/control/HolderKeeper.cpp
@@ -1,6 +1,6 @@
 #include "baobabpin/control/HolderKeeper.h"
 
-#include "baobabpin/control/RecordKeys.h"
+#include "baobabpin/control/GroupChanges.h"
 #include "platform/Wire.h"
 
 #include <string>
@@ -182,28 +182,25 @@
 void HolderKeeper::writeDue() {
   if (Writing || Due.empty())
     return;
-  std::vector<platform::KeyChange> changes;
-  std::string names;
+  GroupChanges changes;
   for (const auto &[group, it] : std::exchange(Due, {})) {
     auto known = Cluster.view().Groups.find(group);
     // The others are noted again.
-    if (changes.size() == platform::MaxKeyChanges ||
-        known == Cluster.view().Groups.end() ||
+    if (isFull(changes) || known == Cluster.view().Groups.end() ||
         known->second.Revision != it.Revision)
       continue;
-    changes.push_back(
-        {groupKey(group), cluster::encodeRecord(it.Value), it.Revision, false});
-    names += (names.empty() ? "" : ",") + group;
+    addGroup(changes, group, it.Value, it.Revision);
   }
-  if (changes.empty())
+  if (changes.Keys.empty())
     return;
   Writing = true;
-  Cluster.change(changes, [this, names](const store::StoreReply &reply) {
-    Writing = false;
-    Log.line("holders_recorded")
-        .add("groups", names)
-        .add("result", store::storeStatusName(reply.Status));
-  });
+  Cluster.change(changes.Keys,
+                 [this, names = changes.Names](const store::StoreReply &reply) {
+                   Writing = false;
+                   Log.line("holders_recorded")
+                       .add("groups", names)
+                       .add("result", store::storeStatusName(reply.Status));
+                 });
 }
 
 } // namespace baobabpin::control
--- a/baobabpin/control/RecordVerifier.cpp
+++ b/baobabpin/control/RecordVerifier.cpp
@@ -1,6 +1,6 @@
 #include "baobabpin/control/RecordVerifier.h"
 
-#include "baobabpin/control/RecordKeys.h"
+#include "baobabpin/control/GroupChanges.h"
 
 #include <memory>
 #include <utility>
@@ -106,26 +106,24 @@
 
 void RecordVerifier::write(const std::vector<base::GroupName> &groups,
                            std::uint64_t era) {
-  std::vector<platform::KeyChange> changes;
-  std::string names;
+  GroupChanges changes;
   for (const auto &group : groups) {
     // The others are added again, because they are still not verified.
-    if (changes.size() == platform::MaxKeyChanges)
+    if (isFull(changes))
       break;
     const auto &known = Cluster.view().Groups.at(group);
     cluster::GroupRecord record = known.Value;
     record.Epoch = cluster::firstNumberOf(era) + 1;
-    changes.push_back({groupKey(group), cluster::encodeRecord(record),
-                       known.Revision, false});
-    names += (names.empty() ? "" : ",") + group;
+    addGroup(changes, group, record, known.Revision);
   }
   Writing = true;
-  Cluster.change(changes, [this, names](const store::StoreReply &reply) {
-    Writing = false;
-    Log.line("primaries_verified")
-        .add("groups", names)
-        .add("result", store::storeStatusName(reply.Status));
-  });
+  Cluster.change(changes.Keys,
+                 [this, names = changes.Names](const store::StoreReply &reply) {
+                   Writing = false;
+                   Log.line("primaries_verified")
+                       .add("groups", names)
+                       .add("result", store::storeStatusName(reply.Status));
+                 });
 }
 
 } // namespace baobabpin::control
