--- a/review/standin-3/lab.py
+++ b/review/standin-3/lab.py
@@ -310,6 +310,8 @@
 
     async def run(self):
         line = (await self.reader.readuntil(b"\r\n"))[:-2].decode()
+        while self.server.dark:
+            await asyncio.sleep(0.005)
         words = line.split(" ")
         group = self.server.group
         right = words[0] == "START" and words[1] == group.name and (
